--- /dev/null
+++ b/include/spindleadapters/spindleadapters.h
@@ -0,0 +1,5 @@
+// The public header of the spindleadapters library: the ports over the usual protocols, and the codecs.
+
+#pragma once
+
+#include "spindleadapters/TraceCodec.h" // IWYU pragma: export
--- /dev/null
+++ b/include/spindlecore/ResultCode.h
@@ -0,0 +1,76 @@
+// Numbered result codes and the reason that accompanies a failure. docs/errors.md holds the table.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace jacinthspindle {
+
+enum class ResultCode : uint16_t {
+    Ok = 0,
+
+    SettingsInvalid = 100,
+    UsageInvalid = 101,
+
+    TableInvalid = 200,
+    TableConflict = 201,
+    TableRevisionUnknown = 202,
+    TableDigestMismatch = 203,
+
+    RequestMalformed = 300,
+    RequestTooLarge = 301,
+    RouteUnknown = 302,
+    WorkspaceUnknown = 303,
+    LimitExceeded = 304,
+    DeadlineUnreachable = 305,
+    NoChain = 306,
+    ShuttingDown = 307,
+    QueueFull = 308,
+    CursorInvalid = 309,
+    IdempotencyKeyMissing = 310,
+    IdempotencyKeyReused = 311,
+    TableNotReady = 312,
+
+    EndpointFailed = 400,
+    AttemptsExhausted = 401,
+    DeadlineExceeded = 402,
+    CursorMismatch = 403,
+    OutcomeUnknown = 404,
+    ActionInProgress = 405,
+    EndpointRefused = 406,
+    CallerGone = 407,
+
+    PlatformUnavailable = 500,
+    PlatformAnswerMalformed = 501,
+    PlatformOutcomeUnknown = 502,
+    PeerMessageMalformed = 503,
+    PeerMessageUnauthentic = 504,
+
+    TraceMalformed = 600,
+    ReplayDiverged = 601,
+    TraceIncomplete = 602,
+};
+
+// Whether the work of a request ran at an endpoint. NotRun also promises that it never will.
+enum class Execution : uint8_t { NotRun, Ran, Unknown };
+
+// Why an operation failed. Classes that return std::optional keep the reason of the last failure.
+struct Reason {
+    ResultCode code = ResultCode::Ok;
+    std::string text;
+};
+
+// Returns the short, stable name of a code, for example "table-conflict".
+const char* resultName(ResultCode);
+
+// Returns "not run", "ran" or "unknown".
+const char* executionName(Execution);
+
+// Returns the exit status of a program that ends with the code, after sysexits(3) where a status fits.
+int exitStatus(ResultCode);
+
+// Returns the HTTP status that accompanies the code towards a caller.
+int httpStatus(ResultCode);
+
+} // namespace jacinthspindle
--- /dev/null
+++ b/include/spindlecore/Types.h
@@ -0,0 +1,86 @@
+// Basic value types that all modules share: identifiers, layer ranges, chains and time.
+
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jacinthspindle {
+
+// Monotonic time of one process. Instants of different processes cannot be compared.
+using Instant = std::chrono::time_point<std::chrono::steady_clock, std::chrono::nanoseconds>;
+using Duration = std::chrono::nanoseconds;
+// Calendar time; for display only, never for a decision.
+using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+// A string identifier whose tag keeps, for example, a workspace from being passed as a route.
+template <typename Tag> class Identifier {
+public:
+    Identifier() = default;
+    explicit Identifier(std::string value)
+        : m_value(std::move(value))
+    {
+    }
+
+    const std::string& value() const { return m_value; }
+    bool isEmpty() const { return m_value.empty(); }
+    auto operator<=>(const Identifier&) const = default;
+
+    template <typename Self, typename Visitor> static void fields(Self& self, Visitor&& visit) { visit(self.m_value); }
+
+private:
+    std::string m_value;
+};
+
+using RequestId = Identifier<struct RequestTag>;
+using WorkspaceId = Identifier<struct WorkspaceTag>;
+using RouteId = Identifier<struct RouteTag>;
+using EndpointId = Identifier<struct EndpointTag>;
+using DataCentreId = Identifier<struct DataCentreTag>;
+using HostId = Identifier<struct HostTag>;
+
+// Layers [first, end) of a model.
+struct LayerRange {
+    uint32_t first = 0;
+    uint32_t end = 0;
+
+    uint32_t count() const { return end > first ? end - first : 0; }
+    bool contains(uint32_t layer) const { return layer >= first && layer < end; }
+    auto operator<=>(const LayerRange&) const = default;
+
+    template <typename Self, typename Visitor> static void fields(Self& self, Visitor&& visit)
+    {
+        visit(self.first, self.end);
+    }
+};
+
+// One stage of a chain: the endpoint and the exact layers that it runs.
+struct StageHop {
+    EndpointId endpoint;
+    LayerRange layers;
+
+    auto operator<=>(const StageHop&) const = default;
+
+    template <typename Self, typename Visitor> static void fields(Self& self, Visitor&& visit)
+    {
+        visit(self.endpoint, self.layers);
+    }
+};
+
+// The stages of one attempt in order. For a model route the ranges cover each layer once; for a plain service the
+// chain has one hop with an empty range.
+using Chain = std::vector<StageHop>;
+
+} // namespace jacinthspindle
+
+template <typename Tag> struct std::hash<jacinthspindle::Identifier<Tag>> {
+    size_t operator()(const jacinthspindle::Identifier<Tag>& id) const noexcept
+    {
+        return std::hash<std::string>()(id.value());
+    }
+};
--- /dev/null
+++ b/include/spindlecore/spindlecore.h
@@ -0,0 +1,11 @@
+// The public header of the spindlecore library: types, ports and the state machines that take decisions.
+
+#pragma once
+
+#include "spindlecore/Clock.h" // IWYU pragma: export
+#include "spindlecore/Decisions.h" // IWYU pragma: export
+#include "spindlecore/Ports.h" // IWYU pragma: export
+#include "spindlecore/ResultCode.h" // IWYU pragma: export
+#include "spindlecore/Table.h" // IWYU pragma: export
+#include "spindlecore/Trace.h" // IWYU pragma: export
+#include "spindlecore/Types.h" // IWYU pragma: export
