--- a/include/spindleadapters/spindleadapters.h
+++ b/include/spindleadapters/spindleadapters.h
@@ -2,4 +2,5 @@
 
 #pragma once
 
+#include "spindleadapters/TableCsv.h" // IWYU pragma: export
 #include "spindleadapters/TraceCodec.h" // IWYU pragma: export
--- a/include/spindlecore/Table.h
+++ b/include/spindlecore/Table.h
@@ -132,6 +132,19 @@
     }
 };
 
+// The row `table/head` of the table service: the last accepted change.
+struct TableHead {
+    uint64_t revision = 0;
+    std::string digest;
+    std::string changeId;
+
+    bool operator==(const TableHead&) const = default;
+    template <typename Self, typename Visitor> static void fields(Self& self, Visitor&& visit)
+    {
+        visit(self.revision, self.digest, self.changeId);
+    }
+};
+
 // Returns the change that leads from one table to another's rows; digest, changeId and author are left empty.
 TableDelta diffTables(const Table& from, const Table& to);
 
@@ -142,8 +155,11 @@
 // the resulting table breaks a rule of checkTable().
 std::optional<Table> applyDelta(const Table&, const TableDelta&, Reason&);
 
+enum class RowKind : uint8_t { Workspace, Route, Endpoint };
+
 // One fault of a table, named so that an operator finds the cell.
 struct TableFault {
+    RowKind kind = RowKind::Workspace;
     std::string row; // The identifier of the row.
     std::string column;
     std::string text;
--- a/src/core/Table.cpp
+++ b/src/core/Table.cpp
@@ -5,6 +5,7 @@
 #include "spindlecore/internal/Digest.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace jacinthspindle {
 
@@ -61,12 +62,11 @@
     template <typename Row, typename Id>
     void applyRows(std::vector<Row>& rows, const std::vector<Row>& changed, const std::vector<Id>& removed)
     {
-        std::erase_if(rows, [&](const Row& row) {
-            const auto& id = idOf(row);
-            bool isReplaced
-                = std::any_of(changed.begin(), changed.end(), [&](const Row& it) { return idOf(it) == id; });
-            return isReplaced || std::find(removed.begin(), removed.end(), id) != removed.end();
-        });
+        // The sets keep an import of the whole table linear; a search in the lists is quadratic.
+        std::unordered_set<Id> replaced(removed.begin(), removed.end());
+        for (const auto& it : changed)
+            replaced.insert(idOf(it));
+        std::erase_if(rows, [&](const Row& row) { return replaced.contains(idOf(row)); });
         rows.insert(rows.end(), changed.begin(), changed.end());
         normalizeRows(rows);
     }
--- a/src/core/TableRules.cpp
+++ b/src/core/TableRules.cpp
@@ -14,7 +14,26 @@
     constexpr uint32_t maxLayers = 4'096;
     constexpr size_t maxNameLength = 128;
 
-    using Faults = std::vector<TableFault>;
+    // Collects the faults of one row.
+    class RowFaults {
+    public:
+        RowFaults(std::vector<TableFault>& faults, RowKind kind, const std::string& row)
+            : m_faults(faults)
+            , m_kind(kind)
+            , m_row(row)
+        {
+        }
+
+        void add(const char* column, std::string text)
+        {
+            m_faults.push_back({ m_kind, m_row, column, std::move(text) });
+        }
+
+    private:
+        std::vector<TableFault>& m_faults;
+        RowKind m_kind;
+        const std::string& m_row;
+    };
 
     bool isName(const std::string& text)
     {
@@ -26,25 +45,24 @@
         });
     }
 
-    void checkName(Faults& faults, const std::string& row, const char* column, const std::string& text)
+    void checkName(RowFaults& faults, const char* column, const std::string& text)
     {
         if (!isName(text))
-            faults.push_back({ row, column, "must be 1 to 128 letters, digits, '-', '_' or '.'" });
+            faults.add(column, "must be 1 to 128 letters, digits, '-', '_' or '.'");
     }
 
-    void checkRange(
-        Faults& faults, const std::string& row, const char* column, uint64_t value, uint64_t min, uint64_t max)
+    void checkRange(RowFaults& faults, const char* column, uint64_t value, uint64_t min, uint64_t max)
     {
         if (value >= min && value <= max)
             return;
-        faults.push_back({ row, column,
-            std::to_string(value) + " is not between " + std::to_string(min) + " and " + std::to_string(max) });
+        faults.add(
+            column, std::to_string(value) + " is not between " + std::to_string(min) + " and " + std::to_string(max));
     }
 
-    void checkWorkspace(Faults& faults, const WorkspaceRow& row)
+    void checkWorkspace(RowFaults& faults, const WorkspaceRow& row)
     {
-        checkName(faults, row.workspace.value(), "workspace", row.workspace.value());
-        checkRange(faults, row.workspace.value(), "weight", row.weight, 1, maxWeight);
+        checkName(faults, "workspace", row.workspace.value());
+        checkRange(faults, "weight", row.weight, 1, maxWeight);
     }
 
     // Whether the endpoints of the route's model and version hold, together, each layer.
@@ -66,60 +84,65 @@
         return reached >= route.layers;
     }
 
-    void checkRoute(Faults& faults, const Table& table, const RouteRow& row)
+    void checkRoute(RowFaults& faults, const Table& table, const RouteRow& row)
     {
         const auto& name = row.route.value();
-        checkName(faults, name, "route", name);
-        checkName(faults, name, "target", row.target);
+        checkName(faults, "route", name);
+        checkName(faults, "target", row.target);
         if (row.deadline <= std::chrono::milliseconds::zero())
-            faults.push_back({ name, "deadline_ms", "must be greater than 0" });
+            faults.add("deadline_ms", "must be greater than 0");
         for (const auto& it : row.workspaces) {
             if (!table.findWorkspace(it))
-                faults.push_back({ name, "workspaces", "workspace " + it.value() + " has no row" });
+                faults.add("workspaces", "workspace " + it.value() + " has no row");
         }
         if (row.kind == RouteKind::Service) {
             bool isServed = std::any_of(table.endpoints.begin(), table.endpoints.end(),
                 [&](const EndpointRow& it) { return it.kind == EndpointKind::Service && it.target == row.target; });
             if (!isServed)
-                faults.push_back({ name, "target", "no endpoint serves " + row.target });
+                faults.add("target", "no endpoint serves " + row.target);
             return;
         }
-        checkRange(faults, name, "layers", row.layers, 1, maxLayers);
-        checkRange(faults, name, "max_tokens", row.maxTokens, 1, UINT32_MAX);
+        checkRange(faults, "layers", row.layers, 1, maxLayers);
+        checkRange(faults, "max_tokens", row.maxTokens, 1, UINT32_MAX);
         if (!row.idempotent)
-            faults.push_back({ name, "idempotent", "a model route is always idempotent" });
+            faults.add("idempotent", "a model route is always idempotent");
         if (row.layers >= 1 && row.layers <= maxLayers && !isCovered(table, row))
-            faults.push_back(
-                { name, "layers", "endpoints of " + row.target + " " + row.version + " do not cover all layers" });
+            faults.add("layers", "endpoints of " + row.target + " " + row.version + " do not cover all layers");
     }
 
-    void checkEndpoint(Faults& faults, const EndpointRow& row)
+    void checkEndpoint(RowFaults& faults, const EndpointRow& row)
     {
         const auto& name = row.endpoint.value();
-        checkName(faults, name, "endpoint", name);
-        checkName(faults, name, "data_centre", row.dataCentre.value());
-        checkName(faults, name, "target", row.target);
-        checkRange(faults, name, "slots", row.slots, 1, maxSlots);
-        checkRange(faults, name, "weight", row.weight, 1, maxWeight);
+        checkName(faults, "endpoint", name);
+        checkName(faults, "data_centre", row.dataCentre.value());
+        checkName(faults, "target", row.target);
+        checkRange(faults, "slots", row.slots, 1, maxSlots);
+        checkRange(faults, "weight", row.weight, 1, maxWeight);
         if (row.address.find(':') == std::string::npos)
-            faults.push_back({ name, "address", "must be IP:port" });
+            faults.add("address", "must be IP:port");
         if (row.kind == EndpointKind::Engine && (!row.layers.count() || row.layers.end > maxLayers))
-            faults.push_back({ name, "layers", "must be first-end with first < end <= " + std::to_string(maxLayers) });
+            faults.add("layers", "must be first-end with first < end <= " + std::to_string(maxLayers));
         if (row.kind == EndpointKind::Engine)
-            checkRange(faults, name, "link_mbps", row.linkMbps, 1, UINT32_MAX);
+            checkRange(faults, "link_mbps", row.linkMbps, 1, UINT32_MAX);
     }
 
 } // namespace
 
 std::vector<TableFault> checkTable(const Table& table)
 {
-    Faults faults;
-    for (const auto& it : table.workspaces)
-        checkWorkspace(faults, it);
-    for (const auto& it : table.routes)
-        checkRoute(faults, table, it);
-    for (const auto& it : table.endpoints)
-        checkEndpoint(faults, it);
+    std::vector<TableFault> faults;
+    for (const auto& it : table.workspaces) {
+        RowFaults row(faults, RowKind::Workspace, it.workspace.value());
+        checkWorkspace(row, it);
+    }
+    for (const auto& it : table.routes) {
+        RowFaults row(faults, RowKind::Route, it.route.value());
+        checkRoute(row, table, it);
+    }
+    for (const auto& it : table.endpoints) {
+        RowFaults row(faults, RowKind::Endpoint, it.endpoint.value());
+        checkEndpoint(row, it);
+    }
     return faults;
 }
 
