--- a/include/spindleadapters/spindleadapters.h
+++ b/include/spindleadapters/spindleadapters.h
@@ -3,4 +3,5 @@
 #pragma once
 
 #include "spindleadapters/TableCsv.h" // IWYU pragma: export
+#include "spindleadapters/TableStore.h" // IWYU pragma: export
 #include "spindleadapters/TraceCodec.h" // IWYU pragma: export
