--- a/include/spindleadapters/TraceCodec.h
+++ b/include/spindleadapters/TraceCodec.h
@@ -12,6 +12,7 @@
 namespace jacinthspindle {
 
 std::string encodeRecord(const TraceRecord&);
+std::string encodeConfig(const CoreConfig&);
 std::string encodeInput(const CoreInput&);
 std::string encodeDecision(const CoreDecision&);
 std::string encodeDelta(const TableDelta&);
@@ -19,6 +20,7 @@
 
 // Each decoder returns nothing and sets the reason (TraceMalformed or TableInvalid) on bytes that do not hold exactly
 // one value of the type.
+std::optional<CoreConfig> decodeConfig(std::string_view bytes, Reason&);
 std::optional<CoreInput> decodeInput(std::string_view bytes, Reason&);
 std::optional<CoreDecision> decodeDecision(std::string_view bytes, Reason&);
 std::optional<TableDelta> decodeDelta(std::string_view bytes, Reason&);
--- a/include/spindlecore/spindlecore.h
+++ b/include/spindlecore/spindlecore.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "spindlecore/Clock.h" // IWYU pragma: export
+#include "spindlecore/DecisionCore.h" // IWYU pragma: export
 #include "spindlecore/Decisions.h" // IWYU pragma: export
 #include "spindlecore/Ports.h" // IWYU pragma: export
 #include "spindlecore/ResultCode.h" // IWYU pragma: export
--- a/src/adapters/TraceCodec.cpp
+++ b/src/adapters/TraceCodec.cpp
@@ -29,6 +29,11 @@
     return internal::encodeFields(record);
 }
 
+std::string encodeConfig(const CoreConfig& config)
+{
+    return internal::encodeFields(config);
+}
+
 std::string encodeInput(const CoreInput& input)
 {
     return internal::encodeFields(input);
@@ -49,6 +54,11 @@
     return internal::encodeFields(table);
 }
 
+std::optional<CoreConfig> decodeConfig(std::string_view bytes, Reason& reason)
+{
+    return decodeOne<CoreConfig>(bytes, ResultCode::TraceMalformed, reason);
+}
+
 std::optional<CoreInput> decodeInput(std::string_view bytes, Reason& reason)
 {
     return decodeOne<CoreInput>(bytes, ResultCode::TraceMalformed, reason);
--- a/test/adapters/TraceCodecTest.cpp
+++ b/test/adapters/TraceCodecTest.cpp
@@ -63,3 +63,14 @@
     CHECK_FALSE(decodeInput(std::string("\x92\xcd\xff\xff\x90", 5), reason));
     CHECK(reason.code == ResultCode::TraceMalformed);
 }
+
+TEST_CASE("the settings of the decision core are read back unchanged")
+{
+    CoreConfig config;
+    config.dataCentre = DataCentreId("north");
+    config.seed = UINT64_MAX;
+    Reason reason;
+    auto decoded = decodeConfig(encodeConfig(config), reason);
+    REQUIRE_MESSAGE(decoded, reason.text);
+    CHECK(*decoded == config);
+}
