Replay recorded inputs through the decision core and merge the time line

Cause: operators trust only what they can replay. Change: replayRecords runs each process's inputs at their recorded instants and compares the decisions byte by byte; mergeTimeline orders records of all daemons by logical time. Conclusion: a divergence names host, sequence, request, expected and actual decision; lost records are counted as gaps.

--- a/include/spindleadapters/spindleadapters.h
+++ b/include/spindleadapters/spindleadapters.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include "spindleadapters/Replayer.h" // IWYU pragma: export
 #include "spindleadapters/TableCsv.h" // IWYU pragma: export
 #include "spindleadapters/TableStore.h" // IWYU pragma: export
+#include "spindleadapters/Timeline.h" // IWYU pragma: export
 #include "spindleadapters/TraceCodec.h" // IWYU pragma: export
--- /dev/null
+++ b/test/adapters/ReplayTest.cpp
@@ -0,0 +1,152 @@
+// Tests of the time line and of replay: a clean trace, a changed decision, a missing one, a gap, and doubled records.
+
+#include "support/SampleTable.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <spindleadapters/spindleadapters.h>
+
+using namespace jacinthspindle;
+
+namespace {
+
+// Records a core in the same way as the daemon does.
+class RecordedCore {
+public:
+    explicit RecordedCore(const std::string& host)
+        : m_host(host)
+        , m_core(config())
+    {
+        add(TraceKind::CoreConfig, encodeConfig(config()), RequestId());
+        apply(TableAdopted { std::make_shared<const Table>(test::sampleTable()) });
+    }
+
+    void apply(const CoreInput& input, const RequestId& request = RequestId())
+    {
+        m_clock.advance(std::chrono::milliseconds(1));
+        add(TraceKind::CoreInput, encodeInput(input), request);
+        std::vector<CoreDecision> decisions;
+        m_core.apply(m_clock.now(), input, decisions);
+        for (const auto& it : decisions)
+            add(TraceKind::CoreDecision, encodeDecision(it), request);
+    }
+
+    std::vector<TraceRecord> records;
+
+private:
+    static CoreConfig config()
+    {
+        CoreConfig result;
+        result.dataCentre = DataCentreId("north");
+        result.seed = 11;
+        return result;
+    }
+
+    void add(TraceKind kind, std::string payload, const RequestId& request)
+    {
+        TraceRecord record;
+        record.host = m_host;
+        record.sequence = records.size();
+        record.logicalTime = records.size();
+        record.at = m_clock.now();
+        record.request = request;
+        record.kind = kind;
+        record.payload = std::move(payload);
+        records.push_back(std::move(record));
+    }
+
+    HostId m_host;
+    ManualClock m_clock;
+    DecisionCore m_core;
+};
+
+std::vector<TraceRecord> recordedRequests(const std::string& host, int n)
+{
+    RecordedCore core(host);
+    for (int i = 0; i < n; ++i) {
+        RequestId request("r" + std::to_string(i));
+        core.apply(RequestArrived { request, WorkspaceId("school"), RouteId("assistant"), 20, 40, 0, {},
+                       std::chrono::seconds(20) },
+            request);
+        core.apply(FirstToken { request, 1 }, request);
+        core.apply(RequestFinished { request, 1, 40 }, request);
+    }
+    return std::move(core.records);
+}
+
+} // namespace
+
+TEST_CASE("a recorded run of two daemons replays without divergence, in any order and with doubled records")
+{
+    auto records = recordedRequests("entry-1", 20);
+    auto other = recordedRequests("entry-2", 20);
+    records.insert(records.end(), other.rbegin(), other.rend());
+    records.insert(records.end(), other.begin(), other.end());
+    auto report = replayRecords(records);
+    CHECK_FALSE(report.divergence);
+    CHECK(report.processes == 2);
+    CHECK(report.inputs == 2 * (1 + 3 * 20));
+    CHECK(report.decisions >= 2 * 20);
+    CHECK(report.gaps == 0);
+}
+
+TEST_CASE("a changed decision is named as the first divergence")
+{
+    auto records = recordedRequests("entry-1", 5);
+    uint64_t changed = 0;
+    for (auto& it : records) {
+        Reason reason;
+        if (it.kind != TraceKind::CoreDecision)
+            continue;
+        auto decision = *decodeDecision(it.payload, reason);
+        auto* dispatch = std::get_if<Dispatch>(&decision);
+        if (!dispatch || it.request != RequestId("r3"))
+            continue;
+        dispatch->chain.front().endpoint = EndpointId("elsewhere");
+        it.payload = encodeDecision(decision);
+        changed = it.sequence;
+    }
+    auto report = replayRecords(records);
+    REQUIRE(report.divergence);
+    CHECK(report.divergence->sequence == changed);
+    CHECK(report.divergence->request == RequestId("r3"));
+    CHECK(report.divergence->expected.find("elsewhere") != std::string::npos);
+    CHECK(report.divergence->actual.find("dispatch") != std::string::npos);
+}
+
+TEST_CASE("a decision that the trace lacks is a divergence at the next input")
+{
+    auto records = recordedRequests("entry-1", 2);
+    auto it = std::find_if(records.begin(), records.end(),
+        [](const TraceRecord& record) { return record.kind == TraceKind::CoreDecision; });
+    REQUIRE(it != records.end());
+    it->kind = TraceKind::StateChanged;
+    auto report = replayRecords(records);
+    REQUIRE(report.divergence);
+    CHECK(report.divergence->expected.empty());
+}
+
+TEST_CASE("lost records are counted as a gap and never as a divergence")
+{
+    auto records = recordedRequests("entry-1", 5);
+    records.erase(records.begin() + 6);
+    auto report = replayRecords(records);
+    CHECK_FALSE(report.divergence);
+    CHECK(report.gaps == 1);
+}
+
+TEST_CASE("the time line follows logical time, not the hosts' clocks")
+{
+    TraceRecord cause;
+    cause.host = HostId("b");
+    cause.logicalTime = 4;
+    cause.wall = WallTime(std::chrono::milliseconds(9000));
+    TraceRecord effect = cause;
+    effect.host = HostId("a");
+    effect.logicalTime = 5;
+    effect.wall = WallTime(std::chrono::milliseconds(1000));
+    auto merged = mergeTimeline({ effect, cause, effect }, {});
+    REQUIRE(merged.size() == 2);
+    CHECK(merged.front() == cause);
+    CHECK(merged.back() == effect);
+}
