--- a/include/spindleadapters/spindleadapters.h
+++ b/include/spindleadapters/spindleadapters.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "spindleadapters/Environment.h" // IWYU pragma: export
 #include "spindleadapters/Replayer.h" // IWYU pragma: export
 #include "spindleadapters/TableCsv.h" // IWYU pragma: export
 #include "spindleadapters/TableStore.h" // IWYU pragma: export
--- a/src/core/TableRules.cpp
+++ b/src/core/TableRules.cpp
@@ -3,7 +3,6 @@
 #include "spindlecore/Table.h"
 
 #include <algorithm>
-#include <set>
 
 namespace jacinthspindle {
 
@@ -65,21 +64,29 @@
         checkRange(faults, "weight", row.weight, 1, maxWeight);
     }
 
-    // Whether the endpoints of the route's model and version hold, together, each layer.
+    bool servesRoute(const EndpointRow& endpoint, const RouteRow& route)
+    {
+        if (endpoint.kind != EndpointKind::Engine || endpoint.target != route.target
+            || endpoint.version != route.version)
+            return false;
+        const auto& adapters = endpoint.adapters;
+        return route.adapter.empty() || std::find(adapters.begin(), adapters.end(), route.adapter) != adapters.end();
+    }
+
+    // Whether the endpoints of the route's model, version and adapter hold, together, each layer.
     bool isCovered(const Table& table, const RouteRow& route)
     {
+        std::vector<LayerRange> ranges;
+        for (const auto& it : table.endpoints) {
+            if (servesRoute(it, route))
+                ranges.push_back(it.layers);
+        }
+        std::sort(ranges.begin(), ranges.end());
         uint32_t reached = 0;
-        bool progressed = true;
-        while (reached < route.layers && progressed) {
-            progressed = false;
-            for (const auto& it : table.endpoints) {
-                bool serves
-                    = it.kind == EndpointKind::Engine && it.target == route.target && it.version == route.version;
-                if (serves && it.layers.contains(reached) && it.layers.end > reached) {
-                    reached = it.layers.end;
-                    progressed = true;
-                }
-            }
+        for (const auto& it : ranges) {
+            if (it.first > reached)
+                return false;
+            reached = std::max(reached, it.end);
         }
         return reached >= route.layers;
     }
