Decode whole floating-point numbers that msgpack stores as integers

Change: the decoder of floating-point members accepts integers. Conclusion: traces with limit shares can be replayed.

--- a/include/spindleadapters/internal/FieldCodec.h
+++ b/include/spindleadapters/internal/FieldCodec.h
@@ -105,9 +105,15 @@
 template <typename Value> void unpackNumber(const msgpack::object& object, Value& value)
 {
     if constexpr (std::is_floating_point_v<Value>) {
-        if (object.type != msgpack::type::FLOAT64 && object.type != msgpack::type::FLOAT32)
+        // The packer stores whole floating-point numbers as integers.
+        if (object.type == msgpack::type::POSITIVE_INTEGER)
+            value = static_cast<Value>(object.via.u64);
+        else if (object.type == msgpack::type::NEGATIVE_INTEGER)
+            value = static_cast<Value>(object.via.i64);
+        else if (object.type == msgpack::type::FLOAT64 || object.type == msgpack::type::FLOAT32)
+            value = static_cast<Value>(object.via.f64);
+        else
             throw DecodeError("expected a floating-point number");
-        value = static_cast<Value>(object.via.f64);
     } else if constexpr (std::is_same_v<Value, bool>) {
         if (object.type != msgpack::type::BOOLEAN)
             throw DecodeError("expected a boolean");
--- a/test/adapters/TraceCodecTest.cpp
+++ b/test/adapters/TraceCodecTest.cpp
@@ -74,3 +74,15 @@
     REQUIRE_MESSAGE(decoded, reason.text);
     CHECK(*decoded == config);
 }
+
+TEST_CASE("a share of whole numbers is read back; the packer stores whole floating-point numbers as integers")
+{
+    for (double rate : { 0.0, 10.0, 2.5, -3.0 }) {
+        CAPTURE(rate);
+        Reason reason;
+        auto input = decodeInput(encodeInput(ShareChanged { WorkspaceId("school"), rate, 1e18, 0.25 }), reason);
+        REQUIRE_MESSAGE(input, reason.text);
+        CHECK(std::get<ShareChanged>(*input).requestsPerSecond == rate);
+        CHECK(std::get<ShareChanged>(*input).tokensPerSecond == 1e18);
+    }
+}
