Add the headers of the stream, action and order machines

Cause: the daemon needs the types of the protocol state machines before their failure tests are finished. Conclusion: the interfaces can be built on; OrderMachine has no implementation yet.

--- a/include/spindleadapters/spindleadapters.h
+++ b/include/spindleadapters/spindleadapters.h
@@ -2,4 +2,5 @@
 
 #pragma once
 
+#include "spindleadapters/ActionCodec.h" // IWYU pragma: export
 #include "spindleadapters/TraceCodec.h" // IWYU pragma: export
--- a/include/spindlecore/spindlecore.h
+++ b/include/spindlecore/spindlecore.h
@@ -2,10 +2,14 @@
 
 #pragma once
 
+#include "spindlecore/ActionMachine.h" // IWYU pragma: export
 #include "spindlecore/Clock.h" // IWYU pragma: export
 #include "spindlecore/Decisions.h" // IWYU pragma: export
+#include "spindlecore/OrderMachine.h" // IWYU pragma: export
 #include "spindlecore/Ports.h" // IWYU pragma: export
 #include "spindlecore/ResultCode.h" // IWYU pragma: export
+#include "spindlecore/StreamCursor.h" // IWYU pragma: export
+#include "spindlecore/StreamValidator.h" // IWYU pragma: export
 #include "spindlecore/Table.h" // IWYU pragma: export
 #include "spindlecore/Trace.h" // IWYU pragma: export
 #include "spindlecore/Types.h" // IWYU pragma: export
