--- a/include/spindleadapters/spindleadapters.h
+++ b/include/spindleadapters/spindleadapters.h
@@ -7,4 +7,5 @@
 #include "spindleadapters/TableCsv.h" // IWYU pragma: export
 #include "spindleadapters/TableStore.h" // IWYU pragma: export
 #include "spindleadapters/Timeline.h" // IWYU pragma: export
+#include "spindleadapters/ActionCodec.h" // IWYU pragma: export
 #include "spindleadapters/TraceCodec.h" // IWYU pragma: export
