--- a/include/spindleadapters/spindleadapters.h
+++ b/include/spindleadapters/spindleadapters.h
@@ -2,4 +2,6 @@
 
 #pragma once
 
+#include "spindleadapters/HttpEndpoints.h" // IWYU pragma: export
+#include "spindleadapters/HttpPlatform.h" // IWYU pragma: export
 #include "spindleadapters/TraceCodec.h" // IWYU pragma: export
