Add the peer messages, the headers of the peer machines, and the peer codec

Cause: the daemon and the machines are built side by side and need fixed types. Conclusion: code can be written against the types; the machines and the transport do not link yet.

--- a/include/spindleadapters/spindleadapters.h
+++ b/include/spindleadapters/spindleadapters.h
@@ -2,4 +2,7 @@
 
 #pragma once
 
+#include "spindleadapters/NngPeerTransport.h" // IWYU pragma: export
+#include "spindleadapters/PeerCodec.h" // IWYU pragma: export
+#include "spindleadapters/PeerTraceCodec.h" // IWYU pragma: export
 #include "spindleadapters/TraceCodec.h" // IWYU pragma: export
--- a/include/spindlecore/spindlecore.h
+++ b/include/spindlecore/spindlecore.h
@@ -4,8 +4,12 @@
 
 #include "spindlecore/Clock.h" // IWYU pragma: export
 #include "spindlecore/Decisions.h" // IWYU pragma: export
+#include "spindlecore/LimitShares.h" // IWYU pragma: export
+#include "spindlecore/Membership.h" // IWYU pragma: export
+#include "spindlecore/PeerMessage.h" // IWYU pragma: export
 #include "spindlecore/Ports.h" // IWYU pragma: export
 #include "spindlecore/ResultCode.h" // IWYU pragma: export
 #include "spindlecore/Table.h" // IWYU pragma: export
+#include "spindlecore/TableReplica.h" // IWYU pragma: export
 #include "spindlecore/Trace.h" // IWYU pragma: export
 #include "spindlecore/Types.h" // IWYU pragma: export
--- /dev/null
+++ b/src/adapters/PeerTraceCodec.cpp
@@ -0,0 +1,47 @@
+// msgpack codecs of the inputs and outputs of Membership, TableReplica and LimitShares.
+
+#include "spindleadapters/PeerTraceCodec.h"
+
+#include "spindleadapters/internal/FieldCodec.h"
+
+namespace jacinthspindle {
+
+namespace {
+
+    template <typename Value> std::optional<Value> decodeOne(std::string_view bytes, Reason& reason)
+    {
+        size_t offset = 0;
+        try {
+            auto value = internal::decodeFields<Value>(bytes, offset);
+            if (offset == bytes.size())
+                return value;
+            reason = { ResultCode::TraceMalformed, std::to_string(bytes.size() - offset) + " bytes follow the value" };
+        } catch (const internal::DecodeError& error) {
+            reason = { ResultCode::TraceMalformed, error.what() };
+        }
+        return std::nullopt;
+    }
+
+} // namespace
+
+#define JACINTHSPINDLE_TRACE_CODEC(name, Type)                                                                         \
+    std::string encode##name(const Type& value)                                                                        \
+    {                                                                                                                  \
+        return internal::encodeFields(value);                                                                          \
+    }                                                                                                                  \
+    std::optional<Type> decode##name(std::string_view bytes, Reason& reason)                                           \
+    {                                                                                                                  \
+        return decodeOne<Type>(bytes, reason);                                                                         \
+    }
+
+JACINTHSPINDLE_TRACE_CODEC(MembershipConfig, MembershipConfig)
+JACINTHSPINDLE_TRACE_CODEC(MembershipInput, MembershipInput)
+JACINTHSPINDLE_TRACE_CODEC(MembershipOutput, MembershipOutput)
+JACINTHSPINDLE_TRACE_CODEC(ReplicaConfig, TableReplicaConfig)
+JACINTHSPINDLE_TRACE_CODEC(ReplicaInput, ReplicaInput)
+JACINTHSPINDLE_TRACE_CODEC(ReplicaOutput, ReplicaOutput)
+JACINTHSPINDLE_TRACE_CODEC(LimitConfig, LimitSharesConfig)
+JACINTHSPINDLE_TRACE_CODEC(LimitInput, LimitInput)
+JACINTHSPINDLE_TRACE_CODEC(LimitOutput, LimitOutput)
+
+} // namespace jacinthspindle
