--- a/src/adapters/Replayer.cpp
+++ b/src/adapters/Replayer.cpp
@@ -1,15 +1,14 @@
-// Replay of the decision core.
+// Replay of the decision core and of the action machines.
 
 #include "spindleadapters/Replayer.h"
 
+#include "spindleadapters/ActionCodec.h"
 #include "spindleadapters/Timeline.h"
 #include "spindleadapters/TraceCodec.h"
 
-#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
-#include <tuple>
 #include <utility>
 
 namespace jacinthspindle {
@@ -20,12 +19,30 @@
 
     std::string describePayload(TraceKind kind, const std::string& payload)
     {
+        if (payload.empty())
+            return {};
         TraceRecord record;
         record.kind = kind;
         record.payload = payload;
         return describeRecord(record);
     }
 
+    // A machine together with the encoded outputs that the trace has yet to confirm. What is left at the end of the
+    // records is no divergence, because the end of a trace may lie between an input and its outputs.
+    template <typename Machine> struct Instance {
+        std::unique_ptr<Machine> machine;
+        std::deque<std::string> pending;
+
+        std::string takePending()
+        {
+            if (pending.empty())
+                return {};
+            auto payload = std::move(pending.front());
+            pending.pop_front();
+            return payload;
+        }
+    };
+
     // Replays the records of one process, in the order of their sequence numbers.
     class ProcessReplay {
     public:
@@ -42,11 +59,15 @@
             m_last = &record;
             switch (record.kind) {
             case TraceKind::CoreConfig:
-                return start(record);
+                return startCore(record);
             case TraceKind::CoreInput:
-                return applyInput(record);
+                return applyCoreInput(record);
             case TraceKind::CoreDecision:
-                return compareDecision(record);
+                return compareOutput(record, m_core);
+            case TraceKind::ActionInput:
+                return applyActionInput(record);
+            case TraceKind::ActionOutput:
+                return compareOutput(record, m_actions[record.request]);
             case TraceKind::Gap:
                 return stopAtGap();
             default:
@@ -68,56 +89,66 @@
             return false;
         }
 
-        bool start(const TraceRecord& record)
+        bool startCore(const TraceRecord& record)
         {
             Reason reason;
             auto config = decodeConfig(record.payload, reason);
             if (!config)
                 return diverge(record, "settings", reason.text);
-            m_core = std::make_unique<DecisionCore>(*config);
+            m_core.machine = std::make_unique<DecisionCore>(*config);
             return true;
         }
 
-        bool applyInput(const TraceRecord& record)
+        bool applyCoreInput(const TraceRecord& record)
         {
-            if (!m_pending.empty())
-                return diverge(record, "", describePayload(TraceKind::CoreDecision, m_pending.front()));
-            if (!m_core)
+            if (!m_core.machine)
                 return stopAtGap();
+            if (!m_core.pending.empty())
+                return diverge(record, "", describePayload(TraceKind::CoreDecision, m_core.pending.front()));
             Reason reason;
             auto input = decodeInput(record.payload, reason);
             if (!input)
                 return diverge(record, "input", reason.text);
             std::vector<CoreDecision> decisions;
-            m_core->apply(record.at, *input, decisions);
+            m_core.machine->apply(record.at, *input, decisions);
             for (const auto& it : decisions)
-                m_pending.push_back(encodeDecision(it));
+                m_core.pending.push_back(encodeDecision(it));
             ++m_report.inputs;
             return true;
         }
 
-        bool compareDecision(const TraceRecord& record)
+        bool applyActionInput(const TraceRecord& record)
         {
-            if (!m_core)
+            Reason reason;
+            auto input = decodeActionInput(record.payload, reason);
+            if (!input)
+                return diverge(record, "action input", reason.text);
+            auto& action = m_actions[record.request];
+            if (!action.pending.empty())
+                return diverge(record, "", describePayload(TraceKind::ActionOutput, action.pending.front()));
+            if (std::holds_alternative<ActionStarted>(*input))
+                action.machine = std::make_unique<ActionMachine>();
+            if (!action.machine)
                 return stopAtGap();
-            std::string actual;
-            if (!m_pending.empty()) {
-                actual = std::move(m_pending.front());
-                m_pending.pop_front();
-            }
-            if (actual != record.payload) {
-                return diverge(record, describeRecord(record),
-                    actual.empty() ? std::string() : describePayload(TraceKind::CoreDecision, actual));
-            }
+            action.pending.push_back(encodeActionOutput(action.machine->apply(record.at, *input)));
+            ++m_report.inputs;
+            return true;
+        }
+
+        template <typename Machine> bool compareOutput(const TraceRecord& record, Instance<Machine>& instance)
+        {
+            if (!instance.machine)
+                return stopAtGap();
+            auto actual = instance.takePending();
+            if (actual != record.payload)
+                return diverge(record, describeRecord(record), describePayload(record.kind, actual));
             ++m_report.decisions;
             return true;
         }
 
         ReplayReport& m_report;
-        std::unique_ptr<DecisionCore> m_core;
-        // Encoded decisions of the last input that the trace has yet to confirm. What is left at the end of the records
-        // is no divergence, because the end of a trace may lie between an input and its decisions.
-        std::deque<std::string> m_pending;
+        Instance<DecisionCore> m_core;
+        std::map<RequestId, Instance<ActionMachine>> m_actions;
         const TraceRecord* m_last = nullptr;
     };
 
--- a/src/adapters/Timeline.cpp
+++ b/src/adapters/Timeline.cpp
@@ -1,11 +1,8 @@
-// Merging and description of trace records.
+// Merging of trace records in causal order.
 
 #include "spindleadapters/Timeline.h"
 
-#include "spindleadapters/TraceCodec.h"
-
 #include <algorithm>
-#include <sstream>
 #include <tuple>
 
 namespace jacinthspindle {
@@ -17,131 +14,6 @@
         return std::tie(record.logicalTime, record.host, record.incarnation, record.sequence);
     }
 
-    std::string chainText(const Chain& chain)
-    {
-        std::string text;
-        for (const auto& it : chain) {
-            text += text.empty() ? "" : " > ";
-            text += it.endpoint.value() + "[" + std::to_string(it.layers.first) + "-" + std::to_string(it.layers.end)
-                + ")";
-        }
-        return text;
-    }
-
-    int64_t milliseconds(Duration duration)
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    }
-
-    const char* lifeName(EndpointLife life)
-    {
-        switch (life) {
-        case EndpointLife::Serving:
-            return "serving";
-        case EndpointLife::Leaving:
-            return "leaving";
-        case EndpointLife::Down:
-            break;
-        }
-        return "down";
-    }
-
-    const char* failureName(FailureKind kind)
-    {
-        switch (kind) {
-        case FailureKind::ConnectFailed:
-            return "connect failed";
-        case FailureKind::StreamBroken:
-            return "stream broken";
-        case FailureKind::Stalled:
-            return "stalled";
-        case FailureKind::Refused:
-            return "refused";
-        case FailureKind::BadToken:
-            break;
-        }
-        return "bad token";
-    }
-
-    // Describes one alternative of CoreInput or CoreDecision.
-    struct Describe {
-        std::ostringstream& out;
-
-        void operator()(const RequestArrived& it) const
-        {
-            out << "arrived workspace=" << it.workspace.value() << " route=" << it.route.value()
-                << " prompt=" << it.promptTokens << " max=" << it.maxTokens << " from=" << it.firstPosition
-                << " deadline_ms=" << milliseconds(it.deadline);
-        }
-        void operator()(const FirstToken& it) const { out << "first token, attempt " << it.attempt; }
-        void operator()(const TokensProgressed& it) const
-        {
-            out << "at position " << it.position << ", attempt " << it.attempt;
-        }
-        void operator()(const AttemptFailed& it) const
-        {
-            out << "attempt " << it.attempt << " failed at " << it.endpoint.value() << ": " << failureName(it.kind)
-                << ", position " << it.position;
-        }
-        void operator()(const RequestFinished& it) const
-        {
-            out << "finished, attempt " << it.attempt << ", tokens " << it.tokens;
-        }
-        void operator()(const CallerGone&) const { out << "caller gone"; }
-        void operator()(const LoadReported& it) const
-        {
-            out << "load of " << it.endpoint.value() << ": running " << it.running << ", waiting " << it.waiting
-                << ", age_ms " << milliseconds(it.age);
-        }
-        void operator()(const CacheChanged& it) const
-        {
-            out << "cache of " << it.endpoint.value() << ": added " << it.added.size() << ", removed "
-                << it.removed.size();
-        }
-        void operator()(const EndpointStateSeen& it) const
-        {
-            out << "endpoint " << it.endpoint.value() << " is " << lifeName(it.life);
-        }
-        void operator()(const TableAdopted& it) const
-        {
-            out << "table revision " << (it.table ? it.table->revision : 0) << " in force";
-        }
-        void operator()(const ShareChanged& it) const
-        {
-            out << "share of " << it.workspace.value() << ": requests/s " << it.requestsPerSecond << ", tokens/s "
-                << it.tokensPerSecond << ", concurrency " << it.concurrency;
-        }
-        void operator()(const DrainStarted& it) const { out << "drain, refuse new " << (it.refuseNew ? "yes" : "no"); }
-        void operator()(const Tick& it) const { out << "tick " << it.number; }
-        void operator()(const Dispatch& it) const
-        {
-            out << "dispatch attempt " << it.attempt << " from position " << it.firstPosition << ", priority "
-                << unsigned { it.priority } << ": " << chainText(it.chain);
-        }
-        void operator()(const Refuse& it) const
-        {
-            out << "refuse " << resultName(it.code) << " (not run), retry after " << milliseconds(it.retryAfter)
-                << " ms";
-        }
-        void operator()(const Abandon& it) const
-        {
-            out << "abandon attempt " << it.attempt << ": " << resultName(it.code);
-        }
-        void operator()(const Reprioritize& it) const
-        {
-            out << "priority " << unsigned { it.priority } << " for attempt " << it.attempt;
-        }
-    };
-
-    template <typename Variant> std::string describeVariant(const std::optional<Variant>& value, const Reason& reason)
-    {
-        if (!value)
-            return "malformed payload: " + reason.text;
-        std::ostringstream out;
-        std::visit(Describe { out }, *value);
-        return out.str();
-    }
-
 } // namespace
 
 std::vector<TraceRecord> mergeTimeline(std::vector<TraceRecord> records, const TimelineFilter& filter)
@@ -159,64 +31,4 @@
     return records;
 }
 
-const char* traceKindName(TraceKind kind)
-{
-    switch (kind) {
-    case TraceKind::ProcessStarted:
-        return "started";
-    case TraceKind::CoreConfig:
-        return "config";
-    case TraceKind::CoreInput:
-        return "input";
-    case TraceKind::CoreDecision:
-        return "decision";
-    case TraceKind::ActionInput:
-        return "action input";
-    case TraceKind::ActionOutput:
-        return "action output";
-    case TraceKind::OrderInput:
-        return "order input";
-    case TraceKind::OrderOutput:
-        return "order output";
-    case TraceKind::StreamInput:
-        return "stream input";
-    case TraceKind::StreamOutput:
-        return "stream output";
-    case TraceKind::ReplicaInput:
-        return "replica input";
-    case TraceKind::ReplicaOutput:
-        return "replica output";
-    case TraceKind::LimitInput:
-        return "limit input";
-    case TraceKind::LimitOutput:
-        return "limit output";
-    case TraceKind::MembershipInput:
-        return "membership input";
-    case TraceKind::MembershipOutput:
-        return "membership output";
-    case TraceKind::StateChanged:
-        return "state";
-    case TraceKind::Gap:
-        return "gap";
-    }
-    return "unknown";
-}
-
-std::string describeRecord(const TraceRecord& record)
-{
-    Reason reason;
-    switch (record.kind) {
-    case TraceKind::CoreInput:
-        return describeVariant(decodeInput(record.payload, reason), reason);
-    case TraceKind::CoreDecision:
-        return describeVariant(decodeDecision(record.payload, reason), reason);
-    case TraceKind::ProcessStarted:
-    case TraceKind::StateChanged:
-    case TraceKind::Gap:
-        return record.payload;
-    default:
-        return std::to_string(record.payload.size()) + " bytes";
-    }
-}
-
 } // namespace jacinthspindle
--- a/test/adapters/ReplayTest.cpp
+++ b/test/adapters/ReplayTest.cpp
@@ -135,6 +135,43 @@
     CHECK(report.gaps == 1);
 }
 
+TEST_CASE("the steps of an action are replayed, and a changed step is a divergence")
+{
+    ActionMachine machine;
+    ActionStarted started;
+    started.request = RequestId("a1");
+    started.workspace = WorkspaceId("school");
+    started.key = "booking-1";
+    started.bodyDigest = "digest";
+    started.attempt = { HostId("entry-1"), 1, 1 };
+    started.endpoints = { { EndpointId("catalogue-1"), {} } };
+    std::vector<TraceRecord> records;
+    auto add = [&](TraceKind kind, std::string payload) {
+        TraceRecord record;
+        record.host = HostId("entry-1");
+        record.sequence = records.size();
+        record.request = started.request;
+        record.kind = kind;
+        record.payload = std::move(payload);
+        records.push_back(std::move(record));
+    };
+    for (const ActionInput& input : { ActionInput(started), ActionInput(StoreAnswered { 1, CommitOutcome::Committed }),
+             ActionInput(DispatchAnswered { 2, { ServiceOutcome::Answered, 201, "", "booked" } }),
+             ActionInput(StoreAnswered { 3, CommitOutcome::Committed }) }) {
+        add(TraceKind::ActionInput, encodeActionInput(input));
+        add(TraceKind::ActionOutput, encodeActionOutput(machine.apply(Instant {}, input)));
+    }
+    REQUIRE(machine.isFinished());
+    auto report = replayRecords(records);
+    CHECK_FALSE(report.divergence);
+    CHECK(report.inputs == 4);
+    CHECK(report.decisions == 4);
+    records[3].payload = encodeActionOutput(DispatchAction { 2, EndpointId("elsewhere"), 1 });
+    report = replayRecords(records);
+    REQUIRE(report.divergence);
+    CHECK(report.divergence->sequence == 3);
+}
+
 TEST_CASE("the time line follows logical time, not the hosts' clocks")
 {
     TraceRecord cause;
