Compare the outcomes of a replay with stated ones

Cause: a trace is proof only against what should have happened, not only against itself. Change: replay derives how each request ended and compares with a file of stated outcomes.

--- a/src/adapters/Replayer.cpp
+++ b/src/adapters/Replayer.cpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <utility>
 
 namespace jacinthspindle {
@@ -43,11 +44,75 @@
         }
     };
 
+    // Collects how each request ended. A request that several daemons served ends with the best of their outcomes: a
+    // stream that was cut at one daemon is complete if another one completed it.
+    class OutcomeCollector {
+    public:
+        void add(const CoreInput& input)
+        {
+            if (const auto* finished = std::get_if<RequestFinished>(&input))
+                improve(finished->request, OutcomeKind::Complete, ResultCode::Ok, finished->tokens);
+            else if (const auto* gone = std::get_if<CallerGone>(&input))
+                improve(gone->request, OutcomeKind::CallerGone, ResultCode::CallerGone, 0);
+            else if (const auto* arrived = std::get_if<RequestArrived>(&input))
+                improve(arrived->request, OutcomeKind::Open, ResultCode::Ok, 0);
+        }
+
+        void add(const CoreDecision& decision)
+        {
+            if (const auto* dispatch = std::get_if<Dispatch>(&decision))
+                ++m_outcomes[dispatch->request].dispatches;
+            else if (const auto* refuse = std::get_if<Refuse>(&decision))
+                improve(refuse->request, OutcomeKind::Refused, refuse->code, 0);
+            else if (const auto* abandon = std::get_if<Abandon>(&decision))
+                improve(abandon->request, OutcomeKind::Abandoned, abandon->code, 0);
+        }
+
+        void add(const RequestId& request, const ActionOutput& output)
+        {
+            const auto* answer = std::get_if<AnswerCaller>(&output);
+            if (!answer)
+                return;
+            switch (answer->execution) {
+            case Execution::NotRun:
+                return improve(request, OutcomeKind::ActionNotRun, answer->code, 0);
+            case Execution::Unknown:
+                return improve(request, OutcomeKind::ActionUnknown, answer->code, 0);
+            case Execution::Ran:
+                return improve(request, OutcomeKind::ActionRan, answer->code, 0);
+            }
+        }
+
+        std::vector<RequestOutcome> take()
+        {
+            std::vector<RequestOutcome> outcomes;
+            for (auto& [request, outcome] : m_outcomes) {
+                outcome.request = request;
+                outcomes.push_back(std::move(outcome));
+            }
+            return outcomes;
+        }
+
+    private:
+        void improve(const RequestId& request, OutcomeKind kind, ResultCode code, uint32_t tokens)
+        {
+            auto& outcome = m_outcomes[request];
+            if (kind < outcome.kind)
+                return;
+            outcome.kind = kind;
+            outcome.code = code;
+            outcome.tokens = tokens;
+        }
+
+        std::map<RequestId, RequestOutcome> m_outcomes;
+    };
+
     // Replays the records of one process, in the order of their sequence numbers.
     class ProcessReplay {
     public:
-        explicit ProcessReplay(ReplayReport& report)
+        ProcessReplay(ReplayReport& report, OutcomeCollector& outcomes)
             : m_report(report)
+            , m_outcomes(outcomes)
         {
         }
 
@@ -111,8 +176,11 @@
                 return diverge(record, "input", reason.text);
             std::vector<CoreDecision> decisions;
             m_core.machine->apply(record.at, *input, decisions);
-            for (const auto& it : decisions)
+            m_outcomes.add(*input);
+            for (const auto& it : decisions) {
                 m_core.pending.push_back(encodeDecision(it));
+                m_outcomes.add(it);
+            }
             ++m_report.inputs;
             return true;
         }
@@ -130,7 +198,9 @@
                 action.machine = std::make_unique<ActionMachine>();
             if (!action.machine)
                 return stopAtGap();
-            action.pending.push_back(encodeActionOutput(action.machine->apply(record.at, *input)));
+            auto output = action.machine->apply(record.at, *input);
+            action.pending.push_back(encodeActionOutput(output));
+            m_outcomes.add(record.request, output);
             ++m_report.inputs;
             return true;
         }
@@ -147,6 +217,7 @@
         }
 
         ReplayReport& m_report;
+        OutcomeCollector& m_outcomes;
         Instance<DecisionCore> m_core;
         std::map<RequestId, Instance<ActionMachine>> m_actions;
         const TraceRecord* m_last = nullptr;
@@ -160,9 +231,10 @@
     for (const auto& it : records)
         processes[{ it.host, it.incarnation }].emplace(it.sequence, &it);
     ReplayReport report;
+    OutcomeCollector outcomes;
     for (const auto& [key, ordered] : processes) {
         ++report.processes;
-        ProcessReplay replay(report);
+        ProcessReplay replay(report, outcomes);
         for (const auto& [sequence, record] : ordered) {
             if (!replay.apply(*record))
                 break;
@@ -170,7 +242,60 @@
         if (report.divergence)
             break;
     }
+    report.outcomes = outcomes.take();
     return report;
 }
 
+const char* outcomeName(OutcomeKind kind)
+{
+    switch (kind) {
+    case OutcomeKind::Open:
+        return "open";
+    case OutcomeKind::CallerGone:
+        return "caller-gone";
+    case OutcomeKind::Refused:
+        return "refused";
+    case OutcomeKind::Abandoned:
+        return "abandoned";
+    case OutcomeKind::ActionNotRun:
+        return "action-not-run";
+    case OutcomeKind::ActionUnknown:
+        return "action-unknown";
+    case OutcomeKind::ActionRan:
+        return "action-ran";
+    case OutcomeKind::Complete:
+        break;
+    }
+    return "complete";
+}
+
+std::string RequestOutcome::toString() const
+{
+    return request.value() + " " + outcomeName(kind) + " " + resultName(code) + " " + std::to_string(tokens);
+}
+
+std::vector<std::string> compareOutcomes(const ReplayReport& report, const std::string& stated)
+{
+    std::map<std::string, std::string> actual;
+    for (const auto& it : report.outcomes)
+        actual[it.request.value()] = it.toString();
+    std::vector<std::string> differences;
+    std::istringstream lines(stated);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.empty() || line.front() == '#')
+            continue;
+        auto it = actual.find(line.substr(0, line.find(' ')));
+        if (it == actual.end()) {
+            differences.push_back("stated '" + line + "', the trace has no such request");
+            continue;
+        }
+        if (it->second != line)
+            differences.push_back("stated '" + line + "', replayed '" + it->second + "'");
+        actual.erase(it);
+    }
+    for (const auto& [request, line] : actual)
+        differences.push_back("not stated, replayed '" + line + "'");
+    return differences;
+}
+
 } // namespace jacinthspindle
--- a/src/ctl/Options.cpp
+++ b/src/ctl/Options.cpp
@@ -20,7 +20,8 @@
   table history    list the accepted changes
   table revert     accept the rows of --revision again, as a new change
   timeline         show the records of all daemons in causal order; --request or --subject filter
-  replay           run recorded inputs through the decision code and compare; exit status 70 on a divergence
+  replay           run recorded inputs through the decision code and compare with the recorded decisions, and with
+                   the outcomes stated in --outcomes; exit status 70 on a divergence
   status           show the state of each daemon
   health           exit status 0 if each daemon is ready
   drain            ask each daemon to stop taking new work
@@ -29,7 +30,7 @@
   --table-service IP:port   --object-store IP:port   --daemons IP:port[,IP:port...]
   --dir DIR                 folder of workspaces.csv, routes.csv and endpoints.csv
   --base N  --revision N  --author NAME  --change-id ID
-  --request ID  --subject NAME  --files FILE[,FILE...]  --out FILE
+  --request ID  --subject NAME  --files FILE[,FILE...]  --out FILE  --outcomes FILE
   --timeout-ms N            for each request to the platform or a daemon (default 2000)
   --json                    machine-readable output
 
@@ -37,7 +38,7 @@
   jacinthspindlectl table show --dir table --table-service 10.0.0.5:7000
   jacinthspindlectl table check --dir table && jacinthspindlectl table apply --dir table --author asma
   jacinthspindlectl timeline --request 4bf92f3577b34da6 --daemons 10.0.1.1:8080,10.0.1.2:8080
-  jacinthspindlectl replay --files trace.bin
+  jacinthspindlectl replay --files trace.bin --outcomes outcomes.txt
 )";
 
     std::vector<std::string> splitCommas(const std::string& text)
@@ -69,6 +70,7 @@
         Text request { "", "request", "", false, "", "id", line };
         Text subject { "", "subject", "", false, "", "name", line };
         Text out { "", "out", "", false, "", "file", line };
+        Text outcomes { "", "outcomes", "", false, "", "file", line };
         TCLAP::ValueArg<unsigned> timeout { "", "timeout-ms", "", false, 2000, "milliseconds", line };
         TCLAP::SwitchArg json { "", "json", "", line };
         TCLAP::UnlabeledMultiArg<std::string> words { "command", "what to do", true, "command", line };
@@ -92,6 +94,7 @@
         options.request = flags.request.getValue();
         options.subject = flags.subject.getValue();
         options.out = flags.out.getValue();
+        options.outcomes = flags.outcomes.getValue();
         options.timeout = std::chrono::milliseconds(flags.timeout.getValue());
         options.json = flags.json.getValue();
         return options;
--- a/src/ctl/Options.h
+++ b/src/ctl/Options.h
@@ -25,6 +25,7 @@
     std::string request;
     std::string subject;
     std::string out; // File for trace records.
+    std::string outcomes; // File of stated outcomes, for replay.
     std::chrono::milliseconds timeout { 2000 };
     bool json = false;
 };
--- a/src/ctl/TraceCommands.cpp
+++ b/src/ctl/TraceCommands.cpp
@@ -26,6 +26,12 @@
         return true;
     }
 
+    std::string readText(const std::string& name)
+    {
+        std::ifstream file(name, std::ios::binary);
+        return { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+    }
+
     bool appendFile(std::vector<TraceRecord>& records, const std::string& name, Reason& reason)
     {
         std::ifstream file(name, std::ios::binary);
@@ -33,8 +39,7 @@
             reason = { ResultCode::TraceMalformed, name + ": cannot be opened" };
             return false;
         }
-        std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-        return appendRecords(records, bytes, name, reason);
+        return appendRecords(records, readText(name), name, reason);
     }
 
     bool appendObjects(std::vector<TraceRecord>& records, const Options& options, Reason& reason)
@@ -131,9 +136,13 @@
                     { "sequence", report.divergence->sequence }, { "request", report.divergence->request.value() },
                     { "expected", report.divergence->expected }, { "actual", report.divergence->actual } };
             }
+            for (const auto& it : report.outcomes)
+                object["outcomes"].push_back(it.toString());
             std::cout << object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
             return;
         }
+        for (const auto& it : report.outcomes)
+            std::cout << it.toString() << "\n";
         std::cout << "replayed " << report.inputs << " inputs and " << report.decisions << " decisions of "
                   << report.processes << " processes, " << report.gaps << " ended at a gap\n";
     }
@@ -150,6 +159,15 @@
                         + " request " + it.request.value() + ": trace has '" + it.expected + "', code decides '"
                         + it.actual + "'" });
         }
+        if (!options.outcomes.empty()) {
+            auto differences = compareOutcomes(report, readText(options.outcomes));
+            for (const auto& it : differences)
+                std::cerr << it << "\n";
+            if (!differences.empty())
+                return fail(options,
+                    { ResultCode::ReplayDiverged,
+                        std::to_string(differences.size()) + " outcomes differ from " + options.outcomes });
+        }
         if (!report.inputs)
             return fail(options, { ResultCode::TraceIncomplete, "the records hold no input that can be replayed" });
         return ResultCode::Ok;
--- a/test/adapters/ReplayTest.cpp
+++ b/test/adapters/ReplayTest.cpp
@@ -172,6 +172,18 @@
     CHECK(report.divergence->sequence == 3);
 }
 
+TEST_CASE("outcomes that differ from the stated ones are named, also missing and unstated requests")
+{
+    auto report = replayRecords(recordedRequests("entry-1", 3));
+    const std::string stated = "# three requests\nr0 complete ok 40\nr1 complete ok 40\nr2 complete ok 40\n";
+    CHECK(compareOutcomes(report, stated).empty());
+    auto differences = compareOutcomes(report, "r0 complete ok 41\nr1 complete ok 40\nr9 refused no-chain 0\n");
+    REQUIRE(differences.size() == 3);
+    CHECK(differences[0].find("r0") != std::string::npos);
+    CHECK(differences[1].find("no such request") != std::string::npos);
+    CHECK(differences[2].find("not stated, replayed 'r2 complete ok 40'") != std::string::npos);
+}
+
 TEST_CASE("the time line follows logical time, not the hosts' clocks")
 {
     TraceRecord cause;
