--- a/include/spindlecore/ActionMachine.h
+++ b/include/spindlecore/ActionMachine.h
@@ -53,6 +53,9 @@
 
 // Returns the key of the action's row; characters that could join two keys into one are escaped.
 std::string actionRowKey(const WorkspaceId&, const std::string& key);
+// Returns the idempotency key under which the endpoint knows the action. It contains the workspace, so that equal keys
+// of two workspaces stay two actions at an endpoint that serves both.
+std::string actionEndpointKey(const WorkspaceId&, const std::string& key);
 // Returns the key of the row whose value is the oldest day that the ledger keeps, as eight digits (YYYYMMDD).
 std::string actionFloorKey(const WorkspaceId&);
 // Returns the day of a key that starts with eight digits and '-'; other keys have none and are kept for ever.
@@ -157,21 +160,23 @@
     JACINTHSPINDLE_FIELDS(self.step, self.key, self.attempt, self.version)
 };
 
-// Send the request to the endpoint with the action's key as idempotency key.
+// Send the request to the endpoint with the given idempotency key.
 struct DispatchAction {
     uint32_t step = 0;
     EndpointId endpoint;
+    std::string idempotencyKey; // actionEndpointKey().
     uint64_t fence = 0;
     bool operator==(const DispatchAction&) const = default;
-    JACINTHSPINDLE_FIELDS(self.step, self.endpoint, self.fence)
+    JACINTHSPINDLE_FIELDS(self.step, self.endpoint, self.idempotencyKey, self.fence)
 };
 
 struct LookupAction {
     uint32_t step = 0;
     EndpointId endpoint;
+    std::string idempotencyKey;
     uint64_t fence = 0;
     bool operator==(const LookupAction&) const = default;
-    JACINTHSPINDLE_FIELDS(self.step, self.endpoint, self.fence)
+    JACINTHSPINDLE_FIELDS(self.step, self.endpoint, self.idempotencyKey, self.fence)
 };
 
 // How the caller or an operator finds out what an answer leaves open.
@@ -284,6 +289,7 @@
 
     std::optional<Capabilities> capabilitiesOf(const ActionRow&) const;
     Settlement settlementOfUnknown() const;
+    std::optional<WriteRow> voidForLateClaim() const;
     uint64_t fence(uint64_t epoch) const { return m_mutations.sameFence ? 1 : epoch; }
 
     internal::ActionMutations m_mutations;
@@ -304,6 +310,7 @@
     bool m_isGivingUp = false; // The own claim is to be made void.
     ResultCode m_voidCode = ResultCode::Ok;
     AttemptId m_asked; // The owner that was asked last.
+    bool m_isAbandoned = false; // It said that it had abandoned the attempt.
     uint32_t m_dispatches = 0;
     uint32_t m_reads = 0; // Bounded, so that the machine always ends.
     size_t m_nextEndpoint = 1; // Index of the endpoint to try after a dispatch that was not sent.
--- a/include/spindlecore/OrderMachine.h
+++ b/include/spindlecore/OrderMachine.h
@@ -33,7 +33,7 @@
     uint16_t format = orderLeaseFormat;
     HostId holder;
     uint64_t incarnation = 0;
-    uint64_t fence = 0; // Rises with each change of the holder.
+    uint64_t fence = 0; // Rises with each change of the holder and each order, so that a late copy is told apart.
     std::vector<OutstandingOrder> outstanding;
     bool operator==(const OrderLease&) const = default;
     JACINTHSPINDLE_FIELDS(self.format, self.holder, self.incarnation, self.fence, self.outstanding)
@@ -64,15 +64,17 @@
     JACINTHSPINDLE_FIELDS(self.table)
 };
 
-// What an engine reports, or that it could not be asked.
+// What an engine says of itself when it is asked directly, or that it could not be asked.
 struct EngineSeen {
     EndpointId endpoint;
-    bool isServing = false; // Reachable, not leaving and not loading.
+    bool isReachable = false; // It answered and is not leaving; orders make sense.
+    bool isServing = false; // It also takes requests: it is not loading.
     std::string version;
     std::vector<std::string> adapters;
     LayerRange layers;
-    uint64_t asOf = 0; // OrderMachine::ordersAnswered() when the engine was asked.
-    JACINTHSPINDLE_FIELDS(self.endpoint, self.isServing, self.version, self.adapters, self.layers, self.asOf)
+    uint64_t asOf = 0; // OrderMachine::statusMark() before the engine was asked.
+    JACINTHSPINDLE_FIELDS(
+        self.endpoint, self.isReachable, self.isServing, self.version, self.adapters, self.layers, self.asOf)
 };
 
 // The answer to ReadLease. A row that was found but not decoded is damaged; nothing is ordered over it.
@@ -162,70 +164,84 @@
 public:
     explicit OrderMachine(OrderConfig, internal::OrderMutations = {});
 
+    // At most one ReadLease, WriteLease or SendOrder is unanswered at a time.
     std::vector<OrderOutput> apply(Instant now, const OrderInput&);
 
-    // The row names this machine as the holder, as far as it knows. For display only.
+    // The row named this machine as the holder when it was last read or written. For display only.
     bool isHolder() const { return m_isHolder; }
-    // Number of orders answered; the value that EngineSeen::asOf carries.
-    uint64_t ordersAnswered() const { return m_answered; }
+    // Rises with each claim of the lease and each answered order; tells which statuses are newer than those.
+    uint64_t statusMark() const { return m_mark; }
     const std::vector<OutstandingOrder>& outstanding() const { return m_lease.outstanding; }
 
 private:
     struct Engine {
         EngineSeen seen;
         Instant at {};
-        bool isKnown = false;
     };
+    // What this holder knows of its order to an endpoint.
     struct Sent {
-        uint64_t answeredAt = 0; // ordersAnswered() after the answer; 0 while there is none.
+        uint64_t mark = 0; // statusMark() after the answer; 0 before it.
+        OrderOutcome outcome = OrderOutcome::Unknown;
         Instant at {};
-        bool mustResend = true;
     };
     enum class Waiting : uint8_t { Nothing, Read, Claim, Renewal, Order };
+    // Number of endpoints in service for each layer of a model in one version.
+    using Coverage = std::map<std::pair<std::string, std::string>, std::map<uint32_t, uint32_t>>;
+
+    void handle(Instant, const OrderTableAdopted&);
+    void handle(Instant, const EngineSeen&);
+    void handle(Instant, const LeaseRead&);
+    void handle(Instant, const LeaseAnswered&);
+    void handle(Instant, const OrderAnswered&);
+    void handle(Instant, const OrderTick&) { }
+    void onWritten(Instant);
+    void proceed(Instant);
+    void proceedAsHolder(Instant);
+    void readLease(Instant);
+    void takeOver();
+    void writeLease(Waiting, OrderLease);
+    void sendListedOrder(Instant);
+    void withhold(const OutstandingOrder&, WithheldReason);
+    void doubtLease(Instant nextRead);
 
-    void onLeaseRead(Instant, const LeaseRead&);
-    void onLeaseAnswered(Instant, CommitOutcome, std::vector<OrderOutput>&);
-    void onOrderAnswered(Instant, OrderOutcome);
-    void onEngineSeen(Instant, const EngineSeen&);
-    void proceed(Instant, std::vector<OrderOutput>&);
-    void proceedAsHolder(Instant, std::vector<OrderOutput>&);
-    void takeOver(std::vector<OrderOutput>&);
-    void writeLease(Waiting, OrderLease, std::vector<OrderOutput>&);
-    void send(Instant, const OutstandingOrder&, std::vector<OrderOutput>&);
-    void withhold(const OutstandingOrder&, WithheldReason, std::vector<OrderOutput>&);
-    void loseLease();
-
+    bool hasWork() const;
+    bool isOwnEngine(const EndpointRow&) const;
     std::optional<OutstandingOrder> wantedOrder(const EndpointRow&) const;
-    std::optional<OutstandingOrder> nextOrder(Instant, std::vector<OrderOutput>&);
-    std::optional<WithheldReason> reasonToWithhold(Instant, const EndpointRow&, const OutstandingOrder&) const;
+    std::optional<OutstandingOrder> repeatedOrder(Instant) const;
+    std::optional<OutstandingOrder> newOrder(Instant);
+    std::optional<WithheldReason> reasonToWithhold(const EndpointRow&, const OutstandingOrder&, const Coverage&) const;
+    bool isLastCoverage(const EndpointRow&, const OutstandingOrder&, const Coverage&) const;
     bool isConfirmed(const OutstandingOrder&) const;
-    bool isOutstanding(const EndpointId&) const;
+    const OutstandingOrder* findOutstanding(const EndpointId&) const;
+    bool mayRepeat(Instant, const EndpointId&) const;
+    bool isFresh(Instant, const EndpointId&) const;
     bool isInService(Instant, const EndpointRow&) const;
-    bool isCovered(
-        Instant, const EndpointRow& model, const std::string& version, LayerRange, const EndpointId& without) const;
-    bool isProtected(Instant, const EndpointRow&, const std::string& version) const;
-    bool hasWork() const;
+    Coverage coverage(Instant) const;
+    bool isProtected(const std::string& target, const std::string& version, const Coverage&) const;
 
     OrderConfig m_config;
     internal::OrderMutations m_mutations;
     std::shared_ptr<const Table> m_table;
     std::map<EndpointId, Engine> m_engines;
-    OrderLease m_lease; // As last read or written; the own one while m_isHolder.
-    uint64_t m_leaseVersion = 0;
-    bool m_isLeaseKnown = false; // Read at least once, and not in doubt since.
-    bool m_isLeaseDamaged = false;
-    bool m_isHolder = false;
+    OrderLease m_lease; // As last read or written.
+    uint64_t m_leaseVersion = 0; // Lowest version that the row can have with m_lease in it.
+    bool m_isLeaseKnown = false;
+    bool m_isHolder = false; // Implies m_isLeaseKnown.
+    uint64_t m_holderMark = 0; // statusMark() after the claim; older statuses may miss orders of earlier holders.
     OrderLease m_writing; // In flight while waiting for Claim or Renewal.
     std::optional<OutstandingOrder> m_toSend; // Listed in m_writing; sent once that is committed.
-    std::map<EndpointId, Sent> m_sent;
+    std::map<EndpointId, Sent> m_sent; // Orders of this holder that were sent under the present claim.
+    std::map<EndpointId, Instant> m_retryAt; // After an order failed.
     std::map<EndpointId, WithheldReason> m_withheld;
     Waiting m_waiting = Waiting::Nothing;
     EndpointId m_sending;
     uint32_t m_step = 0;
-    uint64_t m_answered = 0;
+    uint64_t m_mark = 0;
     Instant m_leaseChangedAt {}; // When this machine first saw m_leaseVersion.
     Instant m_nextRead {};
+    Instant m_nextWrite {};
     Instant m_nextRenewal {};
+    std::vector<OrderOutput> m_outputs; // Of the running apply().
 };
 
 } // namespace jacinthspindle
--- a/include/spindlecore/internal/Escape.h
+++ b/include/spindlecore/internal/Escape.h
@@ -1,4 +1,4 @@
-// Percent-escaping of identifiers that become part of a key or of a text with separators.
+// Escaping of identifiers that become part of a key, a path or a text with separators.
 
 #pragma once
 
@@ -8,8 +8,8 @@
 
 namespace jacinthspindle::internal {
 
-// Keeps letters, digits, '-' and '_' and writes every other byte as '%' and two hexadecimal digits, so that '.' and '/'
-// can serve as separators. Different texts have different results.
+// Keeps letters, digits, '-' and '_' and writes every other byte as '~' and two hexadecimal digits, so that '.' and '/'
+// can serve as separators. Different texts have different results. '~' needs no escaping in a URL or a header.
 std::string escape(std::string_view);
 
 // Returns nothing for a text that escape() does not produce.
--- a/src/core/ActionMachine.cpp
+++ b/src/core/ActionMachine.cpp
@@ -59,6 +59,11 @@
     return "action/" + internal::escape(workspace.value()) + "/" + internal::escape(key);
 }
 
+std::string actionEndpointKey(const WorkspaceId& workspace, const std::string& key)
+{
+    return internal::escape(workspace.value()) + "." + internal::escape(key);
+}
+
 std::string actionFloorKey(const WorkspaceId& workspace)
 {
     return "action-floor/" + internal::escape(workspace.value());
@@ -171,7 +176,7 @@
     if (m_hasAnswer)
         return answerWith(m_answer, false, m_lastWrite);
     if (read.outcome == ReadOutcome::Unavailable)
-        return answerUnknown(ResultCode::PlatformUnavailable);
+        return answerUnknown(ResultCode::PlatformUnavailable, voidForLateClaim());
     if (read.outcome == ReadOutcome::Found) {
         if (m_mutations.dispatchOnDamagedRow)
             return dispatch();
@@ -188,12 +193,17 @@
 
 ActionOutput ActionMachine::resolveSeenRow()
 {
-    if (m_seen.bodyDigest != m_start.bodyDigest && !m_mutations.ignoreBodyDigest)
+    bool isSameBody = m_seen.bodyDigest == m_start.bodyDigest || m_mutations.ignoreBodyDigest;
+    if (!isSameBody && !m_mayHaveRun)
         return answerNotRun(ResultCode::IdempotencyKeyReused, Settlement::Settled, false);
+    if (!isSameBody)
+        return answerUnknown(ResultCode::IdempotencyKeyReused);
     if (m_seen.state == ActionState::Done && !(m_hasAnswer && m_mutations.overwriteResult))
         return answerWith(m_seen.answer, m_seen.isAnswerCut);
+    if (m_seen.state == ActionState::Void && m_hasAnswer)
+        return answerWith(m_answer, false);
     if (m_seen.state == ActionState::Void)
-        return answerNotRun(ResultCode::OutcomeUnknown, Settlement::NewKey, true);
+        return answerNotRun(ResultCode::EndpointFailed, Settlement::NewKey, true);
     if (m_reads > maxReads)
         return m_hasAnswer ? answerWith(m_answer, false, m_lastWrite) : answerUnknown(ResultCode::ActionInProgress);
     if (m_hasAnswer && m_mutations.overwriteResult)
@@ -216,8 +226,11 @@
     m_claimVersion = m_seenVersion;
     if (m_isGivingUp)
         return writeVoid(m_claimVersion, m_voidCode);
-    if (m_dispatches > 0 && m_isClaimCommitted)
+    if (m_dispatches > 0 && m_isClaimCommitted) {
+        // The endpoint knows a later claim than the ledger does, so the ledger is no proof of what ran.
+        m_mayHaveRun = true;
         return answerUnknown(ResultCode::EndpointRefused);
+    }
     return proceedWithClaim();
 }
 
@@ -237,6 +250,7 @@
         return answerUnknown(ResultCode::ActionInProgress);
     case OwnerVerdict::Abandoned:
         // The owner's word decides nothing: its void row does, if it is there by now.
+        m_isAbandoned = true;
         return read();
     case OwnerVerdict::Unknown:
         break;
@@ -317,7 +331,8 @@
         return dispatch();
     if (capabilities.lookup)
         return lookup(m_claim.endpoint, m_claim.epoch);
-    if (m_answer.outcome != ServiceOutcome::Answered)
+    // A retry can still settle it where the endpoint deduplicates; elsewhere the error is all there will ever be.
+    if (capabilities.dedup || m_answer.outcome != ServiceOutcome::Answered)
         return answerUnknown(ResultCode::OutcomeUnknown);
     m_hasAnswer = true;
     return record(m_claim, m_claimVersion);
@@ -346,7 +361,7 @@
 {
     if (m_hasAnswer)
         return answerWith(m_answer, false, m_lastWrite);
-    return answerUnknown(ResultCode::DeadlineExceeded);
+    return answerUnknown(ResultCode::DeadlineExceeded, voidForLateClaim());
 }
 
 } // namespace jacinthspindle
--- a/src/core/ActionSteps.cpp
+++ b/src/core/ActionSteps.cpp
@@ -40,7 +40,8 @@
 
 ActionOutput ActionMachine::writeVoid(uint64_t expectedVersion, ResultCode code)
 {
-    m_isGivingUp = true;
+    // Over an absent row it only forestalls the late claim; a claim that was there first may still be used.
+    m_isGivingUp = expectedVersion != 0;
     m_voidCode = code;
     ActionRow row = m_claim;
     row.state = ActionState::Void;
@@ -86,13 +87,14 @@
     m_mayHaveRunBefore = m_mayHaveRun;
     m_mayHaveRun = true;
     m_phase = ActionPhase::Dispatched;
-    return DispatchAction { ++m_step, m_claim.endpoint, fence(m_claim.epoch) };
+    return DispatchAction { ++m_step, m_claim.endpoint, actionEndpointKey(m_start.workspace, m_start.key),
+        fence(m_claim.epoch) };
 }
 
 ActionOutput ActionMachine::lookup(const EndpointId& endpoint, uint64_t epoch)
 {
     m_phase = ActionPhase::Looking;
-    return LookupAction { ++m_step, endpoint, fence(epoch) };
+    return LookupAction { ++m_step, endpoint, actionEndpointKey(m_start.workspace, m_start.key), fence(epoch) };
 }
 
 ActionOutput ActionMachine::answer(AnswerCaller output)
@@ -138,9 +140,20 @@
     return answer(output);
 }
 
+// The write that makes a first claim conflict if its transaction is still on its way.
+std::optional<WriteRow> ActionMachine::voidForLateClaim() const
+{
+    bool isFirstClaim = m_lastWrite && m_lastWrite->expectedVersion == 0;
+    if (!isFirstClaim || m_isClaimCommitted || m_mayHaveRun)
+        return std::nullopt;
+    auto write = *m_lastWrite;
+    write.row.state = ActionState::Void;
+    return write;
+}
+
 Settlement ActionMachine::settlementOfUnknown() const
 {
-    if (!m_mayHaveRun)
+    if (!m_mayHaveRun || m_isAbandoned)
         return Settlement::RetrySameKey;
     bool isForeign = m_claim.attempt != m_seen.attempt && !m_seen.attempt.host.isEmpty() && !m_isClaimCommitted;
     auto capabilities = isForeign ? capabilitiesOf(m_seen) : std::optional(m_claim.capabilities);
--- a/src/core/Escape.cpp
+++ b/src/core/Escape.cpp
@@ -1,4 +1,4 @@
-// Percent-escaping.
+// Escaping of identifiers.
 
 #include "spindlecore/internal/Escape.h"
 
@@ -25,7 +25,7 @@
             continue;
         }
         auto byte = static_cast<unsigned char>(c);
-        result += '%';
+        result += '~';
         result += digits[byte >> 4];
         result += digits[byte & 15];
     }
@@ -36,7 +36,7 @@
 {
     std::string result;
     for (size_t i = 0; i < text.size(); ++i) {
-        if (text[i] != '%') {
+        if (text[i] != '~') {
             if (!isPlain(text[i]))
                 return std::nullopt;
             result += text[i];
--- /dev/null
+++ b/src/core/OrderPlan.cpp
@@ -0,0 +1,240 @@
+// Choice of orders: what the table asks, what must stay in service, and what is confirmed.
+
+#include "spindlecore/OrderMachine.h"
+
+#include <algorithm>
+
+namespace jacinthspindle {
+
+namespace {
+
+    // Loading an adapter does not interrupt service.
+    bool interruptsService(const OutstandingOrder& order)
+    {
+        return order.kind != OrderKind::LoadAdapter;
+    }
+
+    bool hasAdapter(const EngineSeen& seen, const std::string& adapter)
+    {
+        return std::find(seen.adapters.begin(), seen.adapters.end(), adapter) != seen.adapters.end();
+    }
+
+} // namespace
+
+bool OrderMachine::isOwnEngine(const EndpointRow& row) const
+{
+    return row.kind == EndpointKind::Engine && row.dataCentre == m_config.dataCentre;
+}
+
+bool OrderMachine::hasWork() const
+{
+    if (m_isHolder && !m_lease.outstanding.empty())
+        return true;
+    return std::any_of(m_table->endpoints.begin(), m_table->endpoints.end(),
+        [this](const auto& it) { return isOwnEngine(it) && wantedOrder(it); });
+}
+
+std::optional<OutstandingOrder> OrderMachine::wantedOrder(const EndpointRow& row) const
+{
+    auto engine = m_engines.find(row.endpoint);
+    if (engine == m_engines.end() || !engine->second.seen.isReachable)
+        return std::nullopt;
+    const auto& seen = engine->second.seen;
+    if (seen.layers != row.layers)
+        return OutstandingOrder { row.endpoint, OrderKind::ChangeRole, row.target, row.layers };
+    if (seen.version != row.version)
+        return OutstandingOrder { row.endpoint, OrderKind::LoadVersion, row.version, {} };
+    for (const auto& it : row.adapters) {
+        if (!hasAdapter(seen, it))
+            return OutstandingOrder { row.endpoint, OrderKind::LoadAdapter, it, {} };
+    }
+    return std::nullopt;
+}
+
+// An accepted order is repeated only when the engine serves without its effect: it has restarted or lost the order.
+bool OrderMachine::mayRepeat(Instant now, const EndpointId& endpoint) const
+{
+    auto engine = m_engines.find(endpoint);
+    if (engine == m_engines.end() || !engine->second.seen.isReachable || !isFresh(now, endpoint))
+        return false;
+    auto sent = m_sent.find(endpoint);
+    if (sent == m_sent.end())
+        return true;
+    bool isLost = sent->second.outcome != OrderOutcome::Accepted || engine->second.seen.isServing;
+    return isLost && now >= sent->second.at + m_config.retryEvery;
+}
+
+// An order that this holder has not sent, or whose outcome it does not know. It is sent with what the table asks now:
+// the engine then refuses the earlier order, or has carried out one that the table no longer asks and is corrected.
+std::optional<OutstandingOrder> OrderMachine::repeatedOrder(Instant now) const
+{
+    auto inService = coverage(now);
+    for (const auto& it : m_lease.outstanding) {
+        const auto* row = m_table->findEndpoint(it.endpoint);
+        if (!row || isConfirmed(it) || !mayRepeat(now, it.endpoint))
+            continue;
+        OutstandingOrder order = it;
+        if (it.kind == OrderKind::LoadVersion)
+            order.value = row->version;
+        if (it.kind == OrderKind::ChangeRole)
+            order.layers = row->layers;
+        if (!isLastCoverage(*row, order, inService))
+            return order;
+    }
+    return std::nullopt;
+}
+
+std::optional<OutstandingOrder> OrderMachine::newOrder(Instant now)
+{
+    auto inService = coverage(now);
+    for (const auto& it : m_table->endpoints) {
+        if (!isOwnEngine(it) || findOutstanding(it.endpoint))
+            continue;
+        auto order = wantedOrder(it);
+        if (!order) {
+            m_withheld.erase(it.endpoint);
+            continue;
+        }
+        auto retryAt = m_retryAt.find(it.endpoint);
+        bool isTooEarly = retryAt != m_retryAt.end() && now < retryAt->second;
+        // What an old status calls out of service may be in service by now.
+        if (isTooEarly || !isFresh(now, it.endpoint))
+            continue;
+        auto reason = reasonToWithhold(it, *order, inService);
+        if (!reason) {
+            m_withheld.erase(it.endpoint);
+            return order;
+        }
+        withhold(*order, *reason);
+    }
+    return std::nullopt;
+}
+
+std::optional<WithheldReason> OrderMachine::reasonToWithhold(
+    const EndpointRow& row, const OutstandingOrder& order, const Coverage& inService) const
+{
+    if (order.kind == OrderKind::ChangeRole && !row.capabilities.fencing)
+        return WithheldReason::NotIdempotent;
+    if (isLastCoverage(row, order, inService))
+        return WithheldReason::LastCoverage;
+    return std::nullopt;
+}
+
+bool OrderMachine::isLastCoverage(
+    const EndpointRow& row, const OutstandingOrder& order, const Coverage& inService) const
+{
+    const auto& seen = m_engines.at(row.endpoint).seen;
+    bool isServing = seen.isServing && row.state == AdminState::Active;
+    if (m_mutations.ignoreCoverage || !isServing || !interruptsService(order))
+        return false;
+    if (!isProtected(row.target, seen.version, inService))
+        return false;
+    auto counts = inService.find({ row.target, seen.version });
+    if (counts == inService.end())
+        return true;
+    // An endpoint with an outstanding order is not among those that are counted.
+    const auto* outstanding = findOutstanding(row.endpoint);
+    uint32_t own = outstanding && interruptsService(*outstanding) ? 0 : 1;
+    for (uint32_t layer = seen.layers.first; layer < seen.layers.end; ++layer) {
+        auto count = counts->second.find(layer);
+        if (count == counts->second.end() || count->second <= own)
+            return true;
+    }
+    return false;
+}
+
+void OrderMachine::withhold(const OutstandingOrder& order, WithheldReason reason)
+{
+    auto [it, isNew] = m_withheld.try_emplace(order.endpoint, reason);
+    if (!isNew && it->second == reason)
+        return;
+    it->second = reason;
+    m_outputs.emplace_back(OrderWithheld { order, reason });
+}
+
+// Only a status that was asked for after the order was answered can show its effect.
+bool OrderMachine::isConfirmed(const OutstandingOrder& order) const
+{
+    // An endpoint that left the table does not count for anything any more.
+    if (!m_table->findEndpoint(order.endpoint))
+        return true;
+    auto engine = m_engines.find(order.endpoint);
+    auto sent = m_sent.find(order.endpoint);
+    if (engine == m_engines.end() || !engine->second.seen.isServing)
+        return false;
+    const auto& seen = engine->second.seen;
+    if (!m_mutations.confirmByOldStatus) {
+        if (sent == m_sent.end() || sent->second.mark == 0 || seen.asOf < sent->second.mark)
+            return false;
+        // The engine has said that it did not carry out the order.
+        if (sent->second.outcome == OrderOutcome::Failed)
+            return true;
+    }
+    switch (order.kind) {
+    case OrderKind::LoadVersion:
+        return seen.version == order.value;
+    case OrderKind::LoadAdapter:
+        return hasAdapter(seen, order.value);
+    case OrderKind::ChangeRole:
+        break;
+    }
+    return seen.layers == order.layers;
+}
+
+const OutstandingOrder* OrderMachine::findOutstanding(const EndpointId& endpoint) const
+{
+    for (const auto& it : m_lease.outstanding) {
+        if (it.endpoint == endpoint)
+            return &it;
+    }
+    return nullptr;
+}
+
+bool OrderMachine::isFresh(Instant now, const EndpointId& endpoint) const
+{
+    const auto& [seen, at] = m_engines.at(endpoint);
+    return seen.asOf >= m_holderMark && now - at < m_config.statusExpires;
+}
+
+bool OrderMachine::isInService(Instant now, const EndpointRow& row) const
+{
+    auto engine = m_engines.find(row.endpoint);
+    if (engine == m_engines.end() || row.state != AdminState::Active)
+        return false;
+    if (!engine->second.seen.isServing || !isFresh(now, row.endpoint))
+        return false;
+    const auto* order = findOutstanding(row.endpoint);
+    return !order || !interruptsService(*order);
+}
+
+OrderMachine::Coverage OrderMachine::coverage(Instant now) const
+{
+    Coverage result;
+    for (const auto& it : m_table->endpoints) {
+        if (!isOwnEngine(it) || !isInService(now, it))
+            continue;
+        const auto& seen = m_engines.at(it.endpoint).seen;
+        auto& counts = result[{ it.target, seen.version }];
+        for (uint32_t layer = seen.layers.first; layer < seen.layers.end; ++layer)
+            ++counts[layer];
+    }
+    return result;
+}
+
+// A version must stay in service when a route asks for it, and for as long as no version that a route asks for is in
+// service with all layers.
+bool OrderMachine::isProtected(const std::string& target, const std::string& version, const Coverage& inService) const
+{
+    bool isWhole = false;
+    for (const auto& it : m_table->routes) {
+        if (it.kind != RouteKind::Model || it.target != target)
+            continue;
+        if (it.version == version)
+            return true;
+        auto counts = inService.find({ target, it.version });
+        isWhole = isWhole || (counts != inService.end() && counts->second.size() >= it.layers);
+    }
+    return !isWhole;
+}
+
+} // namespace jacinthspindle
--- /dev/null
+++ b/test/support/ActionParties.h
@@ -0,0 +1,369 @@
+// A table service, endpoints and daemons that run one action, with a fault at chosen steps. Everything happens on one
+// thread in a fixed order, so that each case is reproducible from its faults alone.
+
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <spindleadapters/ActionCodec.h>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jacinthspindle::test {
+
+enum class Fault : uint8_t {
+    None,
+    LostRequest, // Not carried out, no answer.
+    LostAnswer, // Carried out, no answer.
+    Late, // No answer; carried out when late messages are released.
+    Doubled, // Carried out and answered twice, the second time when late messages are released.
+    Refused, // Certainly not carried out: store unavailable, or connection refused.
+    ErrorBefore, // The endpoint answers 500 without an effect.
+    ErrorAfter, // The endpoint answers 500 after the effect.
+    Damaged, // The row that is read is damaged.
+    Pause, // The daemon stops before the step and goes on later.
+    PauseAfter, // The daemon stops before it sees the answer.
+    Crash, // The daemon dies before the step and restarts as a new incarnation.
+    CrashAfter,
+    TimeOut, // The deadline passes; the answer comes afterwards.
+    TimeOutBefore, // The deadline passes before the step.
+};
+constexpr Fault lastFault = Fault::TimeOutBefore;
+inline const char* faultName(Fault fault)
+{
+    static constexpr const char* names[]
+        = { "none", "lost-request", "lost-answer", "late", "doubled", "refused", "error-before", "error-after",
+              "damaged", "pause", "pause-after", "crash", "crash-after", "time-out", "time-out-before" };
+    return names[static_cast<size_t>(fault)];
+}
+
+struct FaultPoint {
+    char party = 'A';
+    uint32_t step = 0; // Number of the daemon's output, from 0.
+    Fault fault = Fault::None;
+};
+
+class FakeTable {
+public:
+    bool commit(const Transaction& transaction)
+    {
+        for (const auto& it : transaction.preconditions) {
+            if (versionOf(it.key) != it.version)
+                return false;
+        }
+        for (const auto& it : transaction.writes) {
+            auto& row = m_rows[it.key];
+            Reason reason;
+            auto old = row.value.empty() ? std::nullopt : decodeActionRow(row.value, reason);
+            bool isFinal = old && old->state != ActionState::Claimed;
+            changedFinalRow = changedFinalRow || (isFinal && row.value != it.value);
+            row = { it.key, it.value, row.version + versionStep };
+        }
+        ++writes;
+        return true;
+    }
+    ReadAnswer read(const std::string& key)
+    {
+        ++reads;
+        auto row = m_rows.find(key);
+        return row == m_rows.end() ? ReadAnswer { ReadOutcome::Absent, {} }
+                                   : ReadAnswer { ReadOutcome::Found, row->second };
+    }
+    void erase(const std::string& key) { m_rows.erase(key); }
+
+    uint32_t writes = 0;
+    uint32_t reads = 0;
+    bool changedFinalRow = false; // A row in the state Done or Void was changed.
+    uint64_t versionStep = 1; // A store may skip version numbers.
+
+private:
+    uint64_t versionOf(const std::string& key) const
+    {
+        auto row = m_rows.find(key);
+        return row == m_rows.end() ? 0 : row->second.version;
+    }
+    std::map<std::string, StoredRow> m_rows;
+};
+
+// A service that behaves as its capabilities say and no better.
+struct FakeEndpoint {
+    Capabilities capabilities;
+    uint64_t highestFence = 0;
+    uint32_t effects = 0;
+    ServiceAnswer answer; // Of the last effect.
+    std::string ranFor; // The daemon whose dispatch had the effect.
+
+    ServiceAnswer call(uint64_t fence, const std::string& body, char party)
+    {
+        if (capabilities.fencing && fence < highestFence)
+            return { ServiceOutcome::RefusedFence, 412, {}, {} };
+        highestFence = std::max(highestFence, fence);
+        if (capabilities.dedup && effects > 0)
+            return { ServiceOutcome::Answered, 200, "text/duplicate", answer.body };
+        ++effects;
+        ranFor += party;
+        answer = { ServiceOutcome::Answered, 200, "text/plain", "done " + body };
+        return answer;
+    }
+    LookupAnswer lookup(uint64_t fence)
+    {
+        if (!capabilities.lookup)
+            return { LookupOutcome::Unavailable, {} };
+        if (capabilities.fencing)
+            highestFence = std::max(highestFence, fence);
+        return effects > 0 ? LookupAnswer { LookupOutcome::Found, answer }
+                           : LookupAnswer { LookupOutcome::NotFound, {} };
+    }
+};
+
+// One daemon with one request.
+struct ActionParty {
+    char name = 'A';
+    ActionStarted start;
+    ActionMachine machine;
+    ActionOutput output;
+    std::optional<ActionInput> heldAnswer; // Of a step that was carried out before a pause.
+    std::optional<AnswerCaller> answer;
+    uint32_t steps = 0;
+    uint32_t effectsAtAnswer = 0;
+    bool isStarted = false;
+    bool isPaused = false;
+    bool isDead = false;
+};
+
+class ActionWorld {
+public:
+    ActionWorld(Capabilities capabilities, internal::ActionMutations mutations)
+        : m_mutations(mutations)
+    {
+        for (const char* it : { "x", "y" })
+            endpoints[EndpointId(it)].capabilities = capabilities;
+    }
+
+    // Starts the daemon's request, or lets it go on after a pause, until it ends, dies or pauses.
+    void run(char name, const std::string& body = "body")
+    {
+        auto& party = parties[name];
+        if (!party.isStarted)
+            start(party, name, body);
+        party.isPaused = false;
+        if (party.heldAnswer)
+            give(party, *std::exchange(party.heldAnswer, std::nullopt));
+        while (!party.answer && !party.isPaused && !party.isDead && party.steps < maxSteps)
+            carryOut(party);
+    }
+    void releaseLate()
+    {
+        hadLate = hadLate || !m_late.empty();
+        for (auto& it : std::exchange(m_late, {}))
+            it();
+    }
+    uint32_t effects() const
+    {
+        uint32_t n = 0;
+        for (const auto& [id, it] : endpoints)
+            n += it.effects;
+        return n;
+    }
+
+    static constexpr uint32_t maxSteps = 40;
+    FakeTable table;
+    std::map<EndpointId, FakeEndpoint> endpoints;
+    std::map<char, ActionParty> parties;
+    std::vector<FaultPoint> faults;
+    uint32_t faultsApplied = 0;
+    bool hadLate = false; // Messages were released, so the moment of the release matters.
+    std::string key = "20260101-k";
+    std::string floor;
+
+private:
+    void start(ActionParty& party, char name, const std::string& body)
+    {
+        party.name = name;
+        party.isStarted = true;
+        party.machine = ActionMachine(m_mutations);
+        party.start.workspace = WorkspaceId("school");
+        party.start.key = key;
+        party.start.bodyDigest = body;
+        party.start.attempt = { HostId(std::string(1, name)), 1, 1 };
+        for (const auto& [id, it] : endpoints)
+            party.start.endpoints.push_back({ id, it.capabilities });
+        party.start.ledgerFloor = floor;
+        party.start.floorVersion = table.read(actionFloorKey(party.start.workspace)).row.version;
+        --table.reads; // Floors are cached by daemons; they are not part of the cost of an action.
+        take(party, party.machine.apply({}, party.start));
+    }
+
+    void take(ActionParty& party, ActionOutput output)
+    {
+        party.output = std::move(output);
+        const auto* answer = std::get_if<AnswerCaller>(&party.output);
+        if (!answer)
+            return;
+        party.answer = *answer;
+        party.effectsAtAnswer = effects();
+        if (answer->repair)
+            m_late.emplace_back([this, write = *answer->repair] { table.commit(toTransaction(write)); });
+    }
+    void give(ActionParty& party, const ActionInput& input)
+    {
+        auto output = party.machine.apply({}, input);
+        if (!std::holds_alternative<InputIgnored>(output))
+            take(party, std::move(output));
+    }
+
+    Fault faultAt(const ActionParty& party)
+    {
+        for (const auto& it : faults) {
+            if (it.party != party.name || it.step != party.steps || !applies(it.fault, party.output))
+                continue;
+            ++faultsApplied;
+            return it.fault;
+        }
+        return Fault::None;
+    }
+    bool applies(Fault fault, const ActionOutput& output) const
+    {
+        bool isWrite = std::holds_alternative<WriteRow>(output);
+        bool isDispatch = std::holds_alternative<DispatchAction>(output);
+        bool isLookup = std::holds_alternative<LookupAction>(output);
+        switch (fault) {
+        case Fault::Refused:
+            return isWrite || isDispatch;
+        case Fault::ErrorBefore:
+        case Fault::ErrorAfter:
+            return isDispatch;
+        case Fault::Damaged:
+            return std::holds_alternative<ReadRow>(output);
+        case Fault::Late:
+        case Fault::LostAnswer:
+            return isWrite || isDispatch || isLookup;
+        case Fault::Doubled:
+            // A doubled request has two effects at an endpoint without deduplication, whatever its sender does.
+            return !isDispatch || endpoints.begin()->second.capabilities.dedup;
+        default:
+            return true;
+        }
+    }
+
+    void carryOut(ActionParty& party)
+    {
+        Fault fault = faultAt(party);
+        ++party.steps;
+        auto step = std::visit([](const auto& it) { return it.step; }, party.output);
+        auto act = [this, &party, output = party.output] { return perform(party, output); };
+        switch (fault) {
+        case Fault::Pause:
+            party.isPaused = true;
+            return;
+        case Fault::Crash:
+            party.isDead = true;
+            return;
+        case Fault::CrashAfter:
+            party.isDead = true;
+            act();
+            return;
+        case Fault::PauseAfter:
+            party.isPaused = true;
+            party.heldAnswer = act();
+            return;
+        case Fault::LostRequest:
+            give(party, failure(party.output, fault));
+            return;
+        case Fault::LostAnswer:
+            act();
+            give(party, failure(party.output, fault));
+            return;
+        case Fault::Late:
+            m_late.emplace_back(act);
+            give(party, failure(party.output, fault));
+            return;
+        case Fault::Refused:
+        case Fault::Damaged:
+            give(party, failure(party.output, fault));
+            return;
+        case Fault::ErrorAfter:
+            act();
+            [[fallthrough]];
+        case Fault::ErrorBefore:
+            give(party, DispatchAnswered { step, { ServiceOutcome::Answered, 500, {}, {} } });
+            return;
+        case Fault::TimeOutBefore:
+            give(party, ActionTimedOut { step });
+            return;
+        case Fault::TimeOut: {
+            auto input = act();
+            give(party, ActionTimedOut { step });
+            give(party, input);
+            return;
+        }
+        case Fault::Doubled:
+            m_late.emplace_back(act);
+            [[fallthrough]];
+        case Fault::None: {
+            auto input = act();
+            give(party, input);
+            if (fault == Fault::Doubled)
+                give(party, input);
+            return;
+        }
+        }
+    }
+
+    ActionInput perform(const ActionParty& party, const ActionOutput& output)
+    {
+        Reason reason;
+        if (const auto* write = std::get_if<WriteRow>(&output)) {
+            bool isCommitted = table.commit(toTransaction(*write));
+            return StoreAnswered { write->step, isCommitted ? CommitOutcome::Committed : CommitOutcome::Conflict };
+        }
+        if (const auto* read = std::get_if<ReadRow>(&output))
+            return toRowRead(*read, table.read(read->key), reason);
+        if (const auto* ask = std::get_if<AskOwner>(&output))
+            return OwnerAnswered { ask->step, verdictOf(*ask) };
+        if (const auto* call = std::get_if<DispatchAction>(&output))
+            return DispatchAnswered { call->step,
+                endpoints[call->endpoint].call(call->fence, party.start.bodyDigest, party.name) };
+        const auto& lookup = std::get<LookupAction>(output);
+        return LookupAnswered { lookup.step, endpoints[lookup.endpoint].lookup(lookup.fence) };
+    }
+
+    OwnerVerdict verdictOf(const AskOwner& ask)
+    {
+        for (auto& [name, it] : parties) {
+            if (it.start.attempt != ask.attempt || it.isDead)
+                continue;
+            // A paused daemon does not answer.
+            if (it.isPaused)
+                return OwnerVerdict::Unknown;
+            if (auto write = it.machine.abandonedRow(ask.version))
+                table.commit(toTransaction(*write));
+            return it.machine.verdict();
+        }
+        return OwnerVerdict::Unknown;
+    }
+
+    static ActionInput failure(const ActionOutput& output, Fault fault)
+    {
+        bool isRefused = fault == Fault::Refused;
+        if (const auto* write = std::get_if<WriteRow>(&output))
+            return StoreAnswered { write->step, isRefused ? CommitOutcome::Unavailable : CommitOutcome::Unknown };
+        if (const auto* read = std::get_if<ReadRow>(&output)) {
+            bool isDamaged = fault == Fault::Damaged;
+            return RowRead { read->step, isDamaged ? ReadOutcome::Found : ReadOutcome::Unavailable, std::nullopt, 1 };
+        }
+        if (const auto* ask = std::get_if<AskOwner>(&output))
+            return OwnerAnswered { ask->step, OwnerVerdict::Unknown };
+        if (const auto* call = std::get_if<DispatchAction>(&output))
+            return DispatchAnswered { call->step,
+                { isRefused ? ServiceOutcome::NotSent : ServiceOutcome::Unknown, 0, {}, {} } };
+        return LookupAnswered { std::get<LookupAction>(output).step, {} };
+    }
+
+    internal::ActionMutations m_mutations;
+    std::vector<std::function<void()>> m_late;
+};
+
+} // namespace jacinthspindle::test
