Add membership, the table replica, limit shares and the nng transport

Cause: the headers had no code behind them, and membership needs its failure tests first because the other two machines take their members from it.

--- a/include/spindleadapters/NngPeerTransport.h
+++ b/include/spindleadapters/NngPeerTransport.h
@@ -17,7 +17,7 @@
     uint32_t maxSockets = 64;
     int sendQueue = 64; // Messages per outgoing socket; send() fails when it is full.
     int receiveQueue = 4096;
-    // A socket is kept at least this long, so that a message that is being connected or sent is not lost.
+    // A socket is kept for this long after its last message, so that the message is not lost.
     std::chrono::milliseconds minSocketAge { 500 };
 };
 
--- a/include/spindlecore/LimitShares.h
+++ b/include/spindlecore/LimitShares.h
@@ -18,8 +18,8 @@
     uint32_t groups = 4; // Workspaces fall into this many groups, each with one coordinator per data centre.
     std::chrono::milliseconds reportInterval { 1000 };
     std::chrono::milliseconds lease { 2000 };
-    std::chrono::milliseconds urgentInterval { 50 }; // Between reports of a sudden demand.
-    uint32_t entriesPerReport = 16; // Bounds the bytes per second; further workspaces take turns, by weight.
+    std::chrono::milliseconds urgentInterval { 500 }; // Between reports of a sudden demand.
+    uint32_t entriesPerReport = 6; // Bounds the bytes per second; further workspaces take turns, by weight.
     // Without a lease a daemon uses 1/4 of its guaranteed share: the coordinator may lend the rest of it.
     uint32_t standingDivisor = 4;
     JACINTHSPINDLE_FIELDS(self.self, self.dataCentre, self.groups, self.reportInterval, self.lease, self.urgentInterval,
--- a/include/spindlecore/Membership.h
+++ b/include/spindlecore/Membership.h
@@ -78,6 +78,9 @@
 
 using MembershipOutput = std::variant<SendToPeer, MemberChanged, PeerTableSeen, SelfSuperseded>;
 
+// Bounds the memory that messages of peers can claim; the target size is 880.
+constexpr size_t maxMembers = 8192;
+
 // Faults for the tests of the tests: each one breaks a rule on purpose.
 enum class MembershipFault : uint8_t { None, OldIncarnationWins, NoRefutation, ForgetSuspicion, AccuseAfterPause };
 
@@ -96,8 +99,7 @@
     struct Entry {
         MemberUpdate update;
         Instant changedAt {}; // Time of the last change of state.
-        Instant listedAt {}; // Time at which the host list last contained the member.
-        bool isListed = false;
+        bool isListed = false; // In the last host list.
     };
     struct Rumour {
         MemberUpdate update;
@@ -126,7 +128,7 @@
     void startProbe(Instant, Outputs&);
     void finishProbe(Instant, Outputs&);
     void askOthers(Outputs&);
-    void expireSuspects(Instant, Outputs&);
+    void expireMembers(Instant, Outputs&);
     void join(Instant, Outputs&);
     void learn(Instant, const MemberUpdate&, Outputs&);
     void learnAboutSelf(const MemberUpdate&, Outputs&);
@@ -134,7 +136,7 @@
     void setState(Instant, Entry&, MemberState, Outputs&);
     void spread(const MemberUpdate&);
     std::vector<MemberUpdate> updatesFor(const HostId& receiver);
-    std::optional<HostId> nextTarget(Instant);
+    std::optional<HostId> nextTarget();
     std::vector<HostId> pickLive(size_t n, const HostId& except);
     uint32_t sendLimit() const;
     size_t below(size_t n) { return n ? m_random() % n : 0; }
@@ -153,10 +155,12 @@
     TableStatus m_table;
     Instant m_nextProbe {};
     Instant m_lastTick {};
+    std::optional<Instant> m_hostListAt;
     Instant m_nextJoin {};
     Instant m_nextRevival {};
     uint32_t m_nextContact = 0;
-    std::optional<HostId> m_joinAfter; // Set until all members were received from a contact.
+    std::optional<HostId> m_joinAfter; // The last identifier received from a contact.
+    uint64_t m_joinProbe = 0;
     bool m_isJoined = false;
 };
 
--- a/include/spindlecore/PeerMessage.h
+++ b/include/spindlecore/PeerMessage.h
@@ -115,23 +115,25 @@
     WorkspaceId workspace;
     uint32_t demand = 0;
     uint32_t held = 0;
+    uint64_t round = 0; // Of the report that the lease in use answered; 0 without a lease.
     bool operator==(const LimitEntry&) const = default;
-    JACINTHSPINDLE_FIELDS(self.workspace, self.demand, self.held)
+    JACINTHSPINDLE_FIELDS(self.workspace, self.demand, self.held, self.round)
 };
 
 // The level of the sharing tree at which a report or grant counts.
 enum class LimitLevel : uint8_t { Daemon = 0, DataCentre = 1 };
 
-// Sent by a daemon to the coordinator of a group of workspaces. Workspaces without an entry have no demand.
+// Sent by a daemon to the coordinator of a group of workspaces, and by that one to the group's coordinator of all data
+// centres. Workspaces without an entry use no more than the standing share.
 struct LimitReport {
     LimitLevel level = LimitLevel::Daemon;
     uint32_t group = 0;
     uint64_t round = 0; // Number of the report; the grant repeats it.
-    uint64_t lastGrant = 0; // Round of the last grant that the sender applied.
-    bool isComplete = true; // False: only the listed workspaces changed since the last complete report.
+    bool isComplete = true; // False: workspaces without an entry are as in the last report.
+    bool isDetached = false; // The sender got no answers and uses its guaranteed shares.
     std::vector<LimitEntry> entries;
     bool operator==(const LimitReport&) const = default;
-    JACINTHSPINDLE_FIELDS(self.level, self.group, self.round, self.lastGrant, self.isComplete, self.entries)
+    JACINTHSPINDLE_FIELDS(self.level, self.group, self.round, self.isComplete, self.isDetached, self.entries)
 };
 
 struct LimitLease {
--- a/include/spindlecore/TableReplica.h
+++ b/include/spindlecore/TableReplica.h
@@ -8,11 +8,14 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 
 namespace jacinthspindle {
 
 // First 64 bits of a digest over all rows. Two daemons at the same revision have the same value.
 uint64_t tableContentDigest(const Table&);
+// The first 64 bits of a digest in hexadecimal text.
+uint64_t digestPrefix(const std::string& hexDigest);
 TableHead headOf(const Table&, uint64_t content);
 
 struct TableReplicaConfig {
@@ -126,39 +129,46 @@
     uint64_t rejected() const { return m_rejected; }
 
 private:
+    // A snapshot that arrives from a peer in chunks.
     struct Assembly {
-        uint64_t revision = 0;
-        std::string digest;
         uint64_t content = 0;
         HostId from;
         uint32_t chunks = 0;
         uint32_t next = 0;
+        uint32_t retries = 0;
         Table table;
     };
+    // The members that showed a head.
+    struct Vouched {
+        TableHead head;
+        std::set<HostId> hosts;
+    };
     using Outputs = std::vector<ReplicaOutput>;
 
-    void onMessage(Instant, const PeerReceived&, Outputs&);
-    void onPush(Instant, const HostId&, const TableDelta&, Outputs&);
+    void on(Instant, const PeerReceived&, Outputs&);
+    void on(Instant, const PeerTableSeen&, Outputs&);
+    void on(Instant, const HeadSeen&, Outputs&);
+    void on(Instant, const FetchFailed&, Outputs&);
+    void on(Instant, const ChangesFetched&, Outputs&);
+    void on(Instant, const SnapshotFetched&, Outputs&);
+    void on(Instant, const ReplicaMembers&, Outputs&);
+    void on(Instant, const ReplicaTick&, Outputs&);
     void onRequest(const HostId&, const TableRequest&, Outputs&);
     void onChunk(Instant, const HostId&, const TableSnapshot&, Outputs&);
-    void onPeerTable(Instant, const PeerTableSeen&, Outputs&);
-    void onHead(Instant, const HeadSeen&, Outputs&);
-    void onChanges(Instant, const ChangesFetched&, Outputs&);
-    void onSnapshot(Instant, const SnapshotFetched&, Outputs&);
-    void onMembers(const ReplicaMembers&);
-    void onTick(Instant, Outputs&);
-    bool applyChange(Instant, const HostId& from, const TableDelta&, Outputs&);
-    void adopt(Instant, std::shared_ptr<const Table>, uint64_t content, Outputs&);
-    void push(const TableDelta&, const HostId& except, Outputs&);
-    void pull(Instant, const HostId&, Outputs&);
-    void sendChunk(const MemberUpdate&, uint32_t chunk, Outputs&);
-    void finishSnapshot(Instant, Outputs&);
+    bool applyChange(Instant, const HostId& from, const TableDelta&, bool mayPush, Outputs&);
+    void adopt(const std::shared_ptr<const Table>&, uint64_t content, Outputs&);
+    void push(const std::shared_ptr<const TableDelta>&, const HostId& except, Outputs&);
+    void sendChunk(const MemberUpdate&, uint64_t revision, uint32_t chunk, Outputs&);
+    void finishSnapshot(Outputs&);
+    void vouch(const HostId&, const TableHead&);
+    bool isVouched(const HostId& from, const TableHead&) const;
+    void fetch(Instant, Outputs&);
+    void poll(Instant, Outputs&);
+    void pull(Instant, Outputs&);
     void reject(const HostId& from, uint64_t revision, ResultCode, Outputs&);
     void confirm(Instant at);
-    void send(const MemberUpdate&, PeerBody, Outputs&);
+    static void send(const MemberUpdate&, PeerBody, Outputs&);
     const MemberUpdate* findMember(const HostId&) const;
-    bool isVouched(const HostId& from, const TableHead&) const;
-    std::chrono::milliseconds pollDelay();
     size_t below(size_t n) { return n ? m_random() % n : 0; }
 
     TableReplicaConfig m_config;
@@ -166,16 +176,22 @@
     std::mt19937_64 m_random;
     std::shared_ptr<const Table> m_table;
     TableHead m_head;
-    std::deque<std::shared_ptr<const TableDelta>> m_changes; // Contiguous, ends at the table's revision.
+    std::deque<std::shared_ptr<const TableDelta>> m_changes; // Contiguous; ends at the table's revision.
     std::map<HostId, MemberUpdate> m_members;
+    uint32_t m_localMembers = 1; // Live ones of the own data centre, with this daemon.
     std::map<HostId, TableHead> m_peerHeads; // Last head seen of each live member.
+    std::deque<Vouched> m_vouched;
     std::optional<Assembly> m_assembly;
+    std::shared_ptr<const Table> m_served; // The snapshot that peers fetch in chunks.
+    uint64_t m_servedContent = 0;
     HeadSeen m_platformHead;
-    bool m_isPoller = false;
-    bool m_isPlatformUp = false;
+    Instant m_platformHeadAt {};
+    bool m_isPoller = true;
+    bool m_isStale = true;
+    bool m_isBehind = false; // A peer has shown a greater revision.
     bool m_isFetching = false; // A fetch of changes or of the snapshot is on the way.
+    bool m_hasTriedSnapshot = false;
     std::optional<Instant> m_confirmedAt;
-    Instant m_startedAt {};
     bool m_isStarted = false;
     Instant m_nextPoll {};
     Instant m_nextPull {};
--- /dev/null
+++ b/src/core/TableReplica.cpp
@@ -0,0 +1,523 @@
+// Adoption of table changes, polling of the platform and spreading between peers.
+
+#include "spindlecore/TableReplica.h"
+
+#include "spindlecore/internal/Digest.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace jacinthspindle {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    constexpr uint32_t changesPerFetch = 64;
+    // Changes that are pushed out of one fetch; peers that lack more of them pull.
+    constexpr size_t pushesPerFetch = 4;
+    constexpr uint32_t changesPerAnswer = 32;
+    // Rows per message; 256 rows of at most 700 bytes stay below the bound of a message.
+    constexpr size_t rowsPerMessage = 256;
+    // A push usually arrives before a pull is needed.
+    constexpr milliseconds pullDelay { 300 };
+    constexpr milliseconds startJitter { 1000 };
+    constexpr milliseconds fetchTimeout { 5000 };
+    // All daemons of a data centre together poll at most this often when no poller succeeds.
+    constexpr milliseconds fallbackPollPerMember { 100 };
+    constexpr milliseconds minFallbackPoll { 4000 };
+    constexpr std::chrono::hours neverConfirmed { 24 };
+    constexpr size_t maxVouchedHeads = 16;
+
+    bool isLive(const MemberUpdate& it)
+    {
+        return it.state == MemberState::Alive || it.state == MemberState::Leaving;
+    }
+
+    size_t rowsOf(const TableDelta& delta)
+    {
+        return delta.workspaces.size() + delta.routes.size() + delta.endpoints.size() + delta.removedWorkspaces.size()
+            + delta.removedRoutes.size() + delta.removedEndpoints.size();
+    }
+
+    size_t rowsOf(const Table& table)
+    {
+        return table.workspaces.size() + table.routes.size() + table.endpoints.size();
+    }
+
+    // Copies the rows of one chunk, counted over all kinds, and moves the window on by the size of this kind.
+    template <typename Row>
+    void copyWindow(const std::vector<Row>& rows, size_t& first, size_t& end, std::vector<Row>& result)
+    {
+        auto from = std::min(first, rows.size());
+        auto to = std::min(end, rows.size());
+        result.assign(rows.begin() + static_cast<std::ptrdiff_t>(from), rows.begin() + static_cast<std::ptrdiff_t>(to));
+        first -= from;
+        end -= to;
+    }
+
+    template <typename Row> void append(std::vector<Row>& rows, const std::vector<Row>& more)
+    {
+        rows.insert(rows.end(), more.begin(), more.end());
+    }
+
+} // namespace
+
+uint64_t tableContentDigest(const Table& table)
+{
+    internal::DigestVisitor visitor;
+    visitor(table.workspaces, table.routes, table.endpoints);
+    return digestPrefix(visitor.hexDigest());
+}
+
+uint64_t digestPrefix(const std::string& hexDigest)
+{
+    uint64_t value = 0;
+    std::from_chars(hexDigest.data(), hexDigest.data() + std::min<size_t>(16, hexDigest.size()), value, 16);
+    return value;
+}
+
+TableHead headOf(const Table& table, uint64_t content)
+{
+    return { table.revision, digestPrefix(table.digest), content };
+}
+
+TableReplica::TableReplica(TableReplicaConfig config, ReplicaFault fault)
+    : m_config(std::move(config))
+    , m_fault(fault)
+    , m_random(m_config.seed)
+{
+}
+
+void TableReplica::apply(Instant now, const ReplicaInput& input, Outputs& out)
+{
+    std::visit([&](const auto& it) { on(now, it, out); }, input);
+}
+
+milliseconds TableReplica::age(Instant now) const
+{
+    if (!m_confirmedAt)
+        return neverConfirmed;
+    return std::chrono::floor<milliseconds>(now - *m_confirmedAt);
+}
+
+// ---- Peers.
+
+void TableReplica::on(Instant now, const PeerReceived& message, Outputs& out)
+{
+    if (const auto* push = std::get_if<TablePush>(&message.body)) {
+        if (push->delta)
+            applyChange(now, message.sender, *push->delta, true, out);
+    } else if (const auto* request = std::get_if<TableRequest>(&message.body))
+        onRequest(message.sender, *request, out);
+    else if (const auto* chunk = std::get_if<TableSnapshot>(&message.body))
+        onChunk(now, message.sender, *chunk, out);
+}
+
+void TableReplica::on(Instant now, const PeerTableSeen& seen, Outputs& out)
+{
+    const auto& head = seen.table.head;
+    m_peerHeads[seen.host] = head;
+    if (!head.revision)
+        return;
+    vouch(seen.host, head);
+    if (m_assembly && m_assembly->next == m_assembly->chunks)
+        finishSnapshot(out);
+    if (head.revision == m_head.revision && head.digest != m_head.digest) {
+        reject(seen.host, head.revision, ResultCode::TableDigestMismatch, out);
+        return;
+    }
+    if (head.revision == m_head.revision)
+        confirm(now - seen.table.age);
+    if (head.revision > m_head.revision && !m_isBehind) {
+        m_isBehind = true;
+        m_nextPull = std::max(m_nextPull, now + pullDelay);
+    }
+}
+
+void TableReplica::onRequest(const HostId& sender, const TableRequest& request, Outputs& out)
+{
+    const auto* member = findMember(sender);
+    if (!member || !m_table)
+        return;
+    if (request.snapshot) {
+        sendChunk(*member, request.snapshot, request.chunk, out);
+        return;
+    }
+    bool holdsChanges = !m_changes.empty() && m_changes.front()->base <= request.after;
+    if (request.after >= m_head.revision)
+        return;
+    if (!holdsChanges) {
+        sendChunk(*member, 0, 0, out);
+        return;
+    }
+    auto first = static_cast<size_t>(request.after - m_changes.front()->base);
+    for (size_t i = first; i < std::min(m_changes.size(), first + changesPerAnswer); ++i) {
+        if (rowsOf(*m_changes[i]) > rowsPerMessage) {
+            sendChunk(*member, 0, 0, out);
+            return;
+        }
+        send(*member, TablePush { m_changes[i] }, out);
+    }
+}
+
+void TableReplica::sendChunk(const MemberUpdate& member, uint64_t revision, uint32_t chunk, Outputs& out)
+{
+    // A snapshot that a peer is fetching stays available while newer changes arrive.
+    if (!m_served || (revision != m_served->revision && chunk == 0)) {
+        m_served = m_table;
+        m_servedContent = m_head.content;
+    }
+    if (revision && revision != m_served->revision)
+        chunk = 0;
+    auto rows = rowsOf(*m_served);
+    auto chunks = static_cast<uint32_t>(std::max<size_t>(1, (rows + rowsPerMessage - 1) / rowsPerMessage));
+    if (chunk >= chunks)
+        return;
+    TableSnapshot snapshot { m_served->revision, m_served->digest, m_servedContent, chunk, chunks, {}, {}, {} };
+    size_t first = chunk * rowsPerMessage;
+    size_t end = first + rowsPerMessage;
+    copyWindow(m_served->workspaces, first, end, snapshot.workspaces);
+    copyWindow(m_served->routes, first, end, snapshot.routes);
+    copyWindow(m_served->endpoints, first, end, snapshot.endpoints);
+    send(member, std::move(snapshot), out);
+}
+
+void TableReplica::onChunk(Instant now, const HostId& from, const TableSnapshot& chunk, Outputs& out)
+{
+    if (chunk.revision <= m_head.revision && m_fault != ReplicaFault::AdoptOlder) {
+        if (m_assembly && m_assembly->from == from)
+            m_assembly.reset();
+        return;
+    }
+    if (!chunk.chunk && (!m_assembly || m_assembly->from == from)) {
+        m_assembly = Assembly { chunk.content, from, chunk.chunks, 0, 0, {} };
+        m_assembly->table.revision = chunk.revision;
+        m_assembly->table.digest = chunk.digest;
+    }
+    if (!m_assembly || m_assembly->from != from)
+        return;
+    auto& assembly = *m_assembly;
+    bool isNext = chunk.chunk == assembly.next && chunk.chunks == assembly.chunks && chunk.chunks
+        && chunk.chunk < chunk.chunks && chunk.content == assembly.content && chunk.digest == assembly.table.digest;
+    if (!isNext || chunk.revision != assembly.table.revision)
+        return;
+    append(assembly.table.workspaces, chunk.workspaces);
+    append(assembly.table.routes, chunk.routes);
+    append(assembly.table.endpoints, chunk.endpoints);
+    ++assembly.next;
+    assembly.retries = 0;
+    m_nextPull = now + m_config.retryInterval;
+    if (assembly.next == assembly.chunks || m_fault == ReplicaFault::AdoptPartialSnapshot) {
+        finishSnapshot(out);
+        return;
+    }
+    if (const auto* member = findMember(from))
+        send(*member, TableRequest { m_head.revision, chunk.revision, assembly.next }, out);
+}
+
+void TableReplica::finishSnapshot(Outputs& out)
+{
+    auto& assembly = *m_assembly;
+    TableHead head = headOf(assembly.table, assembly.content);
+    if (m_fault != ReplicaFault::AcceptWrongContent && m_fault != ReplicaFault::AdoptPartialSnapshot) {
+        // The rows cannot be checked against the chained digest, so another member must vouch for their digest.
+        if (!isVouched(assembly.from, head))
+            return;
+        if (tableContentDigest(assembly.table) != assembly.content) {
+            reject(assembly.from, head.revision, ResultCode::TableDigestMismatch, out);
+            m_assembly.reset();
+            return;
+        }
+    }
+    auto table = std::make_shared<const Table>(std::move(assembly.table));
+    auto from = assembly.from;
+    m_assembly.reset();
+    if (!checkTable(*table).empty()) {
+        reject(from, table->revision, ResultCode::TableInvalid, out);
+        return;
+    }
+    m_changes.clear();
+    adopt(table, head.content, out);
+}
+
+void TableReplica::vouch(const HostId& host, const TableHead& head)
+{
+    auto it = std::find_if(m_vouched.begin(), m_vouched.end(), [&](const auto& known) { return known.head == head; });
+    if (it == m_vouched.end()) {
+        m_vouched.push_back({ head, {} });
+        if (m_vouched.size() > maxVouchedHeads)
+            m_vouched.pop_front();
+        it = std::prev(m_vouched.end());
+    }
+    it->hosts.insert(host);
+}
+
+bool TableReplica::isVouched(const HostId& from, const TableHead& head) const
+{
+    size_t others = 0;
+    for (const auto& [host, member] : m_members) {
+        if (host != from && isLive(member))
+            ++others;
+    }
+    if (!others)
+        return true;
+    for (const auto& it : m_vouched) {
+        if (it.head == head && it.hosts.size() > it.hosts.count(from))
+            return true;
+    }
+    return false;
+}
+
+// ---- Platform.
+
+void TableReplica::on(Instant now, const HeadSeen& seen, Outputs& out)
+{
+    m_platformHead = seen;
+    m_platformHeadAt = now;
+    if (seen.revision < m_head.revision) {
+        reject({}, seen.revision, ResultCode::TableConflict, out);
+        return;
+    }
+    if (seen.revision == m_head.revision) {
+        if (seen.revision && seen.digest != m_table->digest)
+            reject({}, seen.revision, ResultCode::TableDigestMismatch, out);
+        else
+            confirm(now);
+        return;
+    }
+    fetch(now, out);
+}
+
+void TableReplica::fetch(Instant now, Outputs& out)
+{
+    if (m_isFetching && now < m_fetchLimit)
+        return;
+    m_isFetching = true;
+    m_fetchLimit = now + fetchTimeout;
+    bool wantsSnapshot
+        = !m_hasTriedSnapshot && (!m_table || m_platformHead.revision - m_head.revision > 4 * changesPerFetch);
+    if (wantsSnapshot) {
+        out.push_back(FetchSnapshot {});
+        return;
+    }
+    out.push_back(FetchChanges { m_head.revision, changesPerFetch });
+}
+
+void TableReplica::on(Instant, const FetchFailed& failed, Outputs&)
+{
+    if (failed.kind == FetchKind::Head)
+        return;
+    m_isFetching = false;
+    // Without a snapshot the changes since the last known revision may still be there, and the other way round.
+    m_hasTriedSnapshot = failed.kind == FetchKind::Snapshot;
+}
+
+void TableReplica::on(Instant now, const ChangesFetched& fetched, Outputs& out)
+{
+    m_isFetching = false;
+    m_hasTriedSnapshot = !fetched.changes.empty();
+    size_t n = fetched.changes.size();
+    bool isProgress = false;
+    for (size_t i = 0; i < n; ++i)
+        isProgress |= applyChange(now, {}, fetched.changes[i], i + pushesPerFetch >= n, out);
+    if (m_head.revision == m_platformHead.revision && m_table && m_table->digest == m_platformHead.digest)
+        confirm(m_platformHeadAt);
+    else if (isProgress && m_head.revision < m_platformHead.revision)
+        fetch(now, out);
+}
+
+void TableReplica::on(Instant now, const SnapshotFetched& fetched, Outputs& out)
+{
+    m_isFetching = false;
+    m_hasTriedSnapshot = true;
+    if (!fetched.table || fetched.table->revision <= m_head.revision)
+        return;
+    if (!checkTable(*fetched.table).empty()) {
+        reject({}, fetched.table->revision, ResultCode::TableInvalid, out);
+        return;
+    }
+    m_changes.clear();
+    adopt(fetched.table, tableContentDigest(*fetched.table), out);
+    if (m_head.revision < m_platformHead.revision)
+        fetch(now, out);
+    else if (m_head.revision == m_platformHead.revision && m_table->digest == m_platformHead.digest)
+        confirm(m_platformHeadAt);
+}
+
+// ---- Adoption.
+
+bool TableReplica::applyChange(Instant now, const HostId& from, const TableDelta& delta, bool mayPush, Outputs& out)
+{
+    if (delta.revision() <= m_head.revision && m_fault != ReplicaFault::AdoptOlder) {
+        if (delta.revision() == m_head.revision && m_table && delta.digest != m_table->digest)
+            reject(from, delta.revision(), ResultCode::TableDigestMismatch, out);
+        return false;
+    }
+    if (delta.base > m_head.revision) {
+        if (!m_isBehind)
+            m_nextPull = std::max(m_nextPull, now + pullDelay);
+        m_isBehind = true;
+        return false;
+    }
+    Table base = m_table ? *m_table : Table {};
+    auto checked = delta;
+    if (m_fault == ReplicaFault::AdoptOlder) {
+        checked.base = base.revision = delta.base;
+        checked.baseDigest = base.digest;
+    }
+    if (m_fault == ReplicaFault::AcceptWrongDigest || m_fault == ReplicaFault::AdoptOlder)
+        checked.digest = deltaDigest(checked);
+    Reason reason;
+    auto table = applyDelta(base, checked, reason);
+    if (!table) {
+        reject(from, delta.revision(), reason.code, out);
+        return false;
+    }
+    m_changes.push_back(std::make_shared<const TableDelta>(delta));
+    if (m_changes.size() > m_config.keptChanges)
+        m_changes.pop_front();
+    auto content = tableContentDigest(*table);
+    adopt(std::make_shared<const Table>(std::move(*table)), content, out);
+    if (mayPush)
+        push(m_changes.back(), from, out);
+    return true;
+}
+
+void TableReplica::adopt(const std::shared_ptr<const Table>& table, uint64_t content, Outputs& out)
+{
+    m_table = table;
+    m_head = headOf(*m_table, content);
+    m_isBehind = std::any_of(
+        m_peerHeads.begin(), m_peerHeads.end(), [&](const auto& it) { return it.second.revision > m_head.revision; });
+    if (m_assembly && m_assembly->table.revision <= m_head.revision)
+        m_assembly.reset();
+    out.emplace_back(std::in_place_type<Adopted>, Adopted { m_table });
+}
+
+void TableReplica::push(const std::shared_ptr<const TableDelta>& delta, const HostId& except, Outputs& out)
+{
+    if (rowsOf(*delta) > rowsPerMessage)
+        return;
+    std::map<DataCentreId, std::vector<const MemberUpdate*>> live;
+    for (const auto& [host, member] : m_members) {
+        if (isLive(member) && host != except)
+            live[member.dataCentre].push_back(&member);
+    }
+    for (auto& [dataCentre, hosts] : live) {
+        bool isLocal = dataCentre == m_config.dataCentre;
+        if (!isLocal && !m_isPoller)
+            continue;
+        size_t wanted = std::min<size_t>(isLocal ? m_config.localFanout : 1, hosts.size());
+        for (size_t i = 0; i < wanted; ++i) {
+            std::swap(hosts[i], hosts[i + below(hosts.size() - i)]);
+            send(*hosts[i], TablePush { delta }, out);
+        }
+    }
+}
+
+void TableReplica::reject(const HostId& from, uint64_t revision, ResultCode code, Outputs& out)
+{
+    ++m_rejected;
+    out.push_back(TableRejected { from, revision, code });
+}
+
+void TableReplica::confirm(Instant at)
+{
+    if (!m_confirmedAt || *m_confirmedAt < at)
+        m_confirmedAt = at;
+}
+
+// ---- Members and time.
+
+void TableReplica::on(Instant, const ReplicaMembers& input, Outputs&)
+{
+    m_members.clear();
+    for (const auto& it : input.members)
+        m_members.emplace(it.host, it);
+    std::erase_if(m_peerHeads, [&](const auto& it) {
+        const auto* member = findMember(it.first);
+        return !member || !isLive(*member);
+    });
+    // Rendezvous hashing: the daemons with the greatest digests poll, so that a death moves one poller only.
+    auto weight = [](const HostId& host) { return internal::sha256Prefix64("poller/" + host.value()); };
+    uint64_t own = weight(m_config.self);
+    size_t greater = 0;
+    m_localMembers = 1;
+    for (const auto& [host, member] : m_members) {
+        if (!isLive(member) || member.dataCentre != m_config.dataCentre)
+            continue;
+        ++m_localMembers;
+        if (weight(host) > own)
+            ++greater;
+    }
+    m_isPoller = greater < m_config.pollersPerDataCentre;
+}
+
+void TableReplica::on(Instant now, const ReplicaTick&, Outputs& out)
+{
+    if (!m_isStarted) {
+        m_isStarted = true;
+        m_nextPoll = now + milliseconds(below(static_cast<size_t>(startJitter.count())));
+    }
+    poll(now, out);
+    if (now < m_nextPull)
+        return;
+    if (m_assembly) {
+        const auto* member = findMember(m_assembly->from);
+        if (!member || !isLive(*member) || ++m_assembly->retries > 4)
+            m_assembly.reset();
+        else if (m_assembly->next < m_assembly->chunks)
+            send(*member, TableRequest { m_head.revision, m_assembly->table.revision, m_assembly->next }, out);
+        m_nextPull = now + m_config.retryInterval;
+        return;
+    }
+    if (m_isBehind)
+        pull(now, out);
+}
+
+void TableReplica::poll(Instant now, Outputs& out)
+{
+    auto spread = std::max(minFallbackPoll, fallbackPollPerMember * m_localMembers);
+    bool isStale = age(now) >= m_config.fallbackAge;
+    bool wasStale = std::exchange(m_isStale, isStale);
+    bool polls = m_isPoller || !m_table || isStale;
+    // Daemons that become stale together poll at times spread over the interval.
+    if (isStale && !wasStale && !m_isPoller && m_table)
+        m_nextPoll = now + milliseconds(below(static_cast<size_t>(spread.count())));
+    if (!polls || now < m_nextPoll)
+        return;
+    out.push_back(FetchHead {});
+    auto interval
+        = m_isPoller ? m_config.pollInterval : spread / 2 + milliseconds(below(static_cast<size_t>(spread.count())));
+    m_nextPoll = now + interval;
+}
+
+void TableReplica::pull(Instant now, Outputs& out)
+{
+    std::vector<const MemberUpdate*> ahead;
+    for (const auto& [host, head] : m_peerHeads) {
+        const auto* member = findMember(host);
+        if (head.revision > m_head.revision && member && isLive(*member))
+            ahead.push_back(member);
+    }
+    m_nextPull = now + m_config.retryInterval;
+    m_isBehind = !ahead.empty();
+    if (ahead.empty())
+        return;
+    send(*ahead[below(ahead.size())], TableRequest { m_head.revision, 0, 0 }, out);
+}
+
+void TableReplica::send(const MemberUpdate& member, PeerBody body, Outputs& out)
+{
+    out.push_back(SendToPeer { member.host, member.address, std::move(body) });
+}
+
+const MemberUpdate* TableReplica::findMember(const HostId& host) const
+{
+    auto it = m_members.find(host);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+} // namespace jacinthspindle
