--- a/test/support/PeerNet.h
+++ b/test/support/PeerNet.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -24,8 +25,7 @@
     {
         auto fault = m_faults.find(m_count++);
         auto kind = fault == m_faults.end() ? MessageFault::None : fault->second;
-        bool isCut = m_isCut && m_isCut(from.value(), message.address);
-        if (isCut || kind == MessageFault::Lost)
+        if (isCut(from.value(), message.address) || kind == MessageFault::Lost)
             return;
         auto due = now + (kind == MessageFault::Late ? lateDelay : delay);
         Message item { due, message.address, { from, incarnation, message.body } };
@@ -46,8 +46,9 @@
 
     void setFault(uint64_t message, MessageFault kind) { m_faults[message] = kind; }
     // Returns whether messages from a host to an address are lost.
-    void cut(std::function<bool(const std::string& from, const std::string& to)> isCut) { m_isCut = std::move(isCut); }
+    void cut(std::function<bool(const std::string& from, const std::string& to)> rule) { m_isCut = std::move(rule); }
     void heal() { m_isCut = nullptr; }
+    bool isCut(const std::string& from, const std::string& to) const { return m_isCut && m_isCut(from, to); }
     uint64_t count() const { return m_count; }
 
     static constexpr std::chrono::milliseconds delay { 5 };
