--- a/test/adapters/ReplayTest.cpp
+++ b/test/adapters/ReplayTest.cpp
@@ -166,7 +166,10 @@
     CHECK_FALSE(report.divergence);
     CHECK(report.inputs == 4);
     CHECK(report.decisions == 4);
-    records[3].payload = encodeActionOutput(DispatchAction { 2, EndpointId("elsewhere"), 1 });
+    DispatchAction elsewhere;
+    elsewhere.step = 2;
+    elsewhere.endpoint = EndpointId("elsewhere");
+    records[3].payload = encodeActionOutput(elsewhere);
     report = replayRecords(records);
     REQUIRE(report.divergence);
     CHECK(report.divergence->sequence == 3);
