--- a/include/spindleadapters/NngPeerTransport.h
+++ b/include/spindleadapters/NngPeerTransport.h
@@ -29,7 +29,8 @@
     uint32_t openSockets = 0;
 };
 
-// send() and receive() may be called from different threads. The destructor ends a receive() in progress.
+// send() and receive() may be called from different threads. stop() ends a receive() in progress; no call may be in
+// progress when the transport is destroyed.
 class NngPeerTransport final : public PeerTransport {
 public:
     // Returns nothing and sets the reason (SettingsInvalid) when the address cannot be listened on.
@@ -40,6 +41,8 @@
 
     bool send(const std::string& address, const std::string& bytes) override;
     std::optional<std::string> receive(std::chrono::milliseconds timeout) override;
+    // Makes this and each later receive() return nothing at once.
+    void stop();
     // "IP:port" with the port in use.
     std::string boundAddress() const;
     NngPeerCounters counters() const;
--- a/src/adapters/NngPeerTransport.cpp
+++ b/src/adapters/NngPeerTransport.cpp
@@ -155,6 +155,11 @@
     return bytes;
 }
 
+void NngPeerTransport::stop()
+{
+    nng_close(m_state->listening);
+}
+
 std::string NngPeerTransport::boundAddress() const
 {
     return m_state->bound;
