Replay membership, table replica and limit shares; name tables by reference in traces

Change: traces hold revision and digest, and the replay takes the rows from the replayed TableReplica; the replayer runs the three peer machines too. Conclusion: the trace no longer grows with the size of the table; without the replica's records the replay reports a gap, never a divergence.

--- a/include/spindleadapters/PeerTraceCodec.h
+++ b/include/spindleadapters/PeerTraceCodec.h
@@ -31,4 +31,14 @@
 std::optional<LimitInput> decodeLimitInput(std::string_view bytes, Reason&);
 std::optional<LimitOutput> decodeLimitOutput(std::string_view bytes, Reason&);
 
+// Each returns the value with its table replaced by one that only names revision and digest. Traces hold references,
+// because a whole table of the target size is about a megabyte and the changes that lead to it are recorded anyway; a
+// replay takes the rows from the replayed TableReplica.
+CoreInput withTableReference(const CoreInput&);
+LimitInput withTableReference(const LimitInput&);
+ReplicaOutput withTableReference(const ReplicaOutput&);
+
+// Whether a table is a reference, that is, has a revision and no rows.
+bool isTableReference(const Table&);
+
 } // namespace jacinthspindle
--- a/include/spindlecore/Trace.h
+++ b/include/spindlecore/Trace.h
@@ -32,6 +32,9 @@
 
 constexpr uint16_t traceFormatVersion = 1;
 
+// Subject of the input records that hold a machine's settings instead of an input.
+constexpr const char* traceConfigSubject = "config";
+
 struct TraceRecord {
     uint16_t format = traceFormatVersion;
     HostId host;
--- a/src/adapters/PeerTraceCodec.cpp
+++ b/src/adapters/PeerTraceCodec.cpp
@@ -44,4 +44,48 @@
 JACINTHSPINDLE_TRACE_CODEC(LimitInput, LimitInput)
 JACINTHSPINDLE_TRACE_CODEC(LimitOutput, LimitOutput)
 
+namespace {
+
+    std::shared_ptr<const Table> referenceTo(const std::shared_ptr<const Table>& table)
+    {
+        if (!table)
+            return nullptr;
+        auto reference = std::make_shared<Table>();
+        reference->revision = table->revision;
+        reference->digest = table->digest;
+        return reference;
+    }
+
+    template <typename Alternative, typename Variant> Variant referenced(const Variant& value)
+    {
+        const auto* holder = std::get_if<Alternative>(&value);
+        if (!holder)
+            return value;
+        Alternative copy = *holder;
+        copy.table = referenceTo(holder->table);
+        return copy;
+    }
+
+} // namespace
+
+CoreInput withTableReference(const CoreInput& input)
+{
+    return referenced<TableAdopted>(input);
+}
+
+LimitInput withTableReference(const LimitInput& input)
+{
+    return referenced<LimitTable>(input);
+}
+
+ReplicaOutput withTableReference(const ReplicaOutput& output)
+{
+    return referenced<Adopted>(output);
+}
+
+bool isTableReference(const Table& table)
+{
+    return table.revision && table.workspaces.empty() && table.routes.empty() && table.endpoints.empty();
+}
+
 } // namespace jacinthspindle
--- a/src/adapters/Replayer.cpp
+++ b/src/adapters/Replayer.cpp
@@ -1,8 +1,9 @@
-// Replay of the decision core and of the action machines.
+// Replay of the decision core, the actions, the membership, the table replica and the limit shares.
 
 #include "spindleadapters/Replayer.h"
 
 #include "spindleadapters/ActionCodec.h"
+#include "spindleadapters/PeerTraceCodec.h"
 #include "spindleadapters/Timeline.h"
 #include "spindleadapters/TraceCodec.h"
 
@@ -123,8 +124,10 @@
                 return stopAtGap();
             m_last = &record;
             switch (record.kind) {
-            case TraceKind::CoreConfig:
-                return startCore(record);
+            case TraceKind::CoreConfig: {
+                Reason reason;
+                return start(record, m_core, decodeConfig(record.payload, reason));
+            }
             case TraceKind::CoreInput:
                 return applyCoreInput(record);
             case TraceKind::CoreDecision:
@@ -133,6 +136,18 @@
                 return applyActionInput(record);
             case TraceKind::ActionOutput:
                 return compareOutput(record, m_actions[record.request]);
+            case TraceKind::ReplicaInput:
+                return applyReplicaInput(record);
+            case TraceKind::ReplicaOutput:
+                return compareOutput(record, m_replica);
+            case TraceKind::LimitInput:
+                return applyLimitInput(record);
+            case TraceKind::LimitOutput:
+                return compareOutput(record, m_limits);
+            case TraceKind::MembershipInput:
+                return applyMembershipInput(record);
+            case TraceKind::MembershipOutput:
+                return compareOutput(record, m_membership);
             case TraceKind::Gap:
                 return stopAtGap();
             default:
@@ -154,26 +169,53 @@
             return false;
         }
 
-        bool startCore(const TraceRecord& record)
+        // Creates a machine from its recorded settings.
+        template <typename Machine, typename Config>
+        bool start(const TraceRecord& record, Instance<Machine>& instance, const std::optional<Config>& config)
         {
-            Reason reason;
-            auto config = decodeConfig(record.payload, reason);
             if (!config)
-                return diverge(record, "settings", reason.text);
-            m_core.machine = std::make_unique<DecisionCore>(*config);
+                return diverge(record, "settings", "malformed settings");
+            instance = {};
+            instance.machine = std::make_unique<Machine>(*config);
             return true;
         }
 
-        bool applyCoreInput(const TraceRecord& record)
+        // Whether an input can be applied: all outputs of the one before it are confirmed.
+        template <typename Machine>
+        bool isReady(const TraceRecord& record, const Instance<Machine>& instance, TraceKind outputKind)
+        {
+            if (!instance.machine)
+                return stopAtGap();
+            if (!instance.pending.empty())
+                return diverge(record, "", describePayload(outputKind, instance.pending.front()));
+            return true;
+        }
+
+        // Replaces a reference to a table by the table that the replayed TableReplica has adopted. Returns false when
+        // the replica has another revision, which means that records are missing.
+        bool resolveTable(std::shared_ptr<const Table>& table)
         {
-            if (!m_core.machine)
+            if (!table || !isTableReference(*table))
+                return true;
+            const auto* adopted = m_replica.machine ? m_replica.machine->table().get() : nullptr;
+            if (!adopted || adopted->revision != table->revision || adopted->digest != table->digest)
                 return stopAtGap();
-            if (!m_core.pending.empty())
-                return diverge(record, "", describePayload(TraceKind::CoreDecision, m_core.pending.front()));
+            table = m_replica.machine->table();
+            return true;
+        }
+
+        bool applyCoreInput(const TraceRecord& record)
+        {
             Reason reason;
             auto input = decodeInput(record.payload, reason);
             if (!input)
                 return diverge(record, "input", reason.text);
+            if (!isReady(record, m_core, TraceKind::CoreDecision))
+                return false;
+            if (auto* adopted = std::get_if<TableAdopted>(&*input)) {
+                if (!resolveTable(adopted->table))
+                    return false;
+            }
             std::vector<CoreDecision> decisions;
             m_core.machine->apply(record.at, *input, decisions);
             m_outcomes.add(*input);
@@ -185,6 +227,64 @@
             return true;
         }
 
+        bool applyMembershipInput(const TraceRecord& record)
+        {
+            Reason reason;
+            if (record.subject == traceConfigSubject)
+                return start(record, m_membership, decodeMembershipConfig(record.payload, reason));
+            auto input = decodeMembershipInput(record.payload, reason);
+            if (!input)
+                return diverge(record, "membership input", reason.text);
+            if (!isReady(record, m_membership, TraceKind::MembershipOutput))
+                return false;
+            std::vector<MembershipOutput> outputs;
+            m_membership.machine->apply(record.at, *input, outputs);
+            for (const auto& it : outputs)
+                m_membership.pending.push_back(encodeMembershipOutput(it));
+            ++m_report.inputs;
+            return true;
+        }
+
+        bool applyReplicaInput(const TraceRecord& record)
+        {
+            Reason reason;
+            if (record.subject == traceConfigSubject)
+                return start(record, m_replica, decodeReplicaConfig(record.payload, reason));
+            auto input = decodeReplicaInput(record.payload, reason);
+            if (!input)
+                return diverge(record, "replica input", reason.text);
+            if (!isReady(record, m_replica, TraceKind::ReplicaOutput))
+                return false;
+            std::vector<ReplicaOutput> outputs;
+            m_replica.machine->apply(record.at, *input, outputs);
+            for (const auto& it : outputs)
+                m_replica.pending.push_back(encodeReplicaOutput(withTableReference(it)));
+            ++m_report.inputs;
+            return true;
+        }
+
+        bool applyLimitInput(const TraceRecord& record)
+        {
+            Reason reason;
+            if (record.subject == traceConfigSubject)
+                return start(record, m_limits, decodeLimitConfig(record.payload, reason));
+            auto input = decodeLimitInput(record.payload, reason);
+            if (!input)
+                return diverge(record, "limit input", reason.text);
+            if (!isReady(record, m_limits, TraceKind::LimitOutput))
+                return false;
+            if (auto* table = std::get_if<LimitTable>(&*input)) {
+                if (!resolveTable(table->table))
+                    return false;
+            }
+            std::vector<LimitOutput> outputs;
+            m_limits.machine->apply(record.at, *input, outputs);
+            for (const auto& it : outputs)
+                m_limits.pending.push_back(encodeLimitOutput(it));
+            ++m_report.inputs;
+            return true;
+        }
+
         bool applyActionInput(const TraceRecord& record)
         {
             Reason reason;
@@ -219,6 +319,9 @@
         ReplayReport& m_report;
         OutcomeCollector& m_outcomes;
         Instance<DecisionCore> m_core;
+        Instance<Membership> m_membership;
+        Instance<TableReplica> m_replica;
+        Instance<LimitShares> m_limits;
         std::map<RequestId, Instance<ActionMachine>> m_actions;
         const TraceRecord* m_last = nullptr;
     };
--- a/test/adapters/ReplayTest.cpp
+++ b/test/adapters/ReplayTest.cpp
@@ -135,6 +135,60 @@
     CHECK(report.gaps == 1);
 }
 
+TEST_CASE("a reference to a table is resolved by the replayed replica, and without the replica it is a gap")
+{
+    TableReplicaConfig replicaConfig;
+    replicaConfig.self = HostId("entry-1");
+    replicaConfig.dataCentre = DataCentreId("north");
+    TableReplica replica(replicaConfig);
+    CoreConfig coreConfig;
+    coreConfig.dataCentre = DataCentreId("north");
+    auto table = test::sampleTable();
+    auto change = diffTables(Table {}, table);
+    change.changeId = "c1";
+    change.digest = deltaDigest(change);
+    std::vector<TraceRecord> records;
+    auto add = [&](TraceKind kind, std::string payload, const std::string& subject = {}) {
+        TraceRecord record;
+        record.host = HostId("entry-1");
+        record.sequence = records.size();
+        record.kind = kind;
+        record.payload = std::move(payload);
+        record.subject = subject;
+        records.push_back(std::move(record));
+    };
+    add(TraceKind::CoreConfig, encodeConfig(coreConfig));
+    add(TraceKind::ReplicaInput, encodeReplicaConfig(replicaConfig), traceConfigSubject);
+    ReplicaInput fetched = ChangesFetched { { change } };
+    add(TraceKind::ReplicaInput, encodeReplicaInput(fetched));
+    std::vector<ReplicaOutput> outputs;
+    replica.apply(Instant {}, fetched, outputs);
+    REQUIRE(replica.table());
+    for (const auto& it : outputs)
+        add(TraceKind::ReplicaOutput, encodeReplicaOutput(withTableReference(it)));
+    add(TraceKind::CoreInput, encodeInput(withTableReference(CoreInput(TableAdopted { replica.table() }))));
+    CHECK(records.back().payload.size() < 200);
+    DecisionCore core(coreConfig);
+    std::vector<CoreDecision> decisions;
+    core.apply(Instant {}, TableAdopted { replica.table() }, decisions);
+    CoreInput arrived = RequestArrived { RequestId("r1"), WorkspaceId("school"), RouteId("assistant"), 5, 5, 0, {},
+        std::chrono::seconds(20) };
+    core.apply(Instant {}, arrived, decisions);
+    add(TraceKind::CoreInput, encodeInput(arrived));
+    for (const auto& it : decisions)
+        add(TraceKind::CoreDecision, encodeDecision(it));
+    auto report = replayRecords(records);
+    CHECK_FALSE(report.divergence);
+    CHECK(report.gaps == 0);
+    CHECK(report.inputs == 3);
+    records.erase(records.begin() + 1);
+    for (size_t i = 0; i < records.size(); ++i)
+        records[i].sequence = i;
+    report = replayRecords(records);
+    CHECK_FALSE(report.divergence);
+    CHECK(report.gaps == 1);
+}
+
 TEST_CASE("the steps of an action are replayed, and a changed step is a divergence")
 {
     ActionMachine machine;
