Plan chains by measured time, admit by deadline and share free slots between daemons

Change: EndpointBook keeps life, load reports and own work in flight; ServiceModel learns times per kind of accelerator; ChainPlanner searches the cheapest chain over a few candidates of a bounded subset; DispatchGate takes only this daemon's share of free slots that all daemons see; FairQueue orders workspaces by tokens per weight with a lane for long work; LengthModel, RetryBudget, RateLimiter, CircuitBreaker and PrefixIndex support them.

--- a/bench/policy/Policies.cpp
+++ b/bench/policy/Policies.cpp
@@ -141,6 +141,7 @@
     CoreConfig config;
     config.dataCentre = dataCentre;
     config.seed = ownSeed;
+    config.host = HostId("entry-" + std::to_string(daemon));
     return std::make_unique<CorePolicy>(config);
 }
 
--- a/bench/policy/Workload.cpp
+++ b/bench/policy/Workload.cpp
@@ -65,6 +65,11 @@
     std::vector<Case> cases;
     auto add = [&](const char* name, const char* target, double load) -> Case& {
         cases.push_back({ name, target, constant(load) });
+        // At overload the first long answers end after more than half a minute; only then is the mix steady.
+        if (load >= 2) {
+            cases.back().warmUp = 50;
+            cases.back().seconds = 130;
+        }
         return cases.back();
     };
     add("light", "no worse than the best baseline by more than 3 %", 0.3);
--- /dev/null
+++ b/include/spindlecore/internal/DispatchGate.h
@@ -0,0 +1,43 @@
+// Decides how much of the free capacity of a pool this daemon may take, while all daemons see the same late reports.
+
+#pragma once
+
+#include "spindlecore/internal/ChainPlanner.h"
+
+namespace jacinthspindle::internal {
+
+// The daemons see the same free slots at the same time. The gate estimates how many daemons of this one's size there
+// are, from its part of the reported load, and takes only its share: each own attempt since the last report stands for
+// one attempt of each peer, and a fraction of a slot is taken with this probability.
+class DispatchGate {
+public:
+    // peersAtStart: estimate before there is load to measure.
+    explicit DispatchGate(double peersAtStart)
+        : m_peers(peersAtStart)
+    {
+    }
+
+    // Own attempts that may start now. A fraction is the probability of one more.
+    double allowance(Instant now, const EndpointBook&, const Pool&) const;
+    bool mayDispatch(Instant now, const EndpointBook&, const Pool&) const;
+
+    // An attempt was started, or long enough passed to draw again.
+    void redraw(std::mt19937_64& random);
+    void updatePeers(Instant now, const EndpointBook&, const Pool&);
+    double peers() const { return m_peers; }
+
+    // The least number of slots that the pool has for any layer.
+    static double slots(const EndpointBook&, const Pool&);
+
+private:
+    double m_peers;
+    double m_threshold = 0.5; // Uniform in [0, 1).
+};
+
+// Maps a random number to [0, 1); std distributions differ between standard libraries.
+inline double uniform(std::mt19937_64& random)
+{
+    return static_cast<double>(random() >> 11) / 9007199254740992.0;
+}
+
+} // namespace jacinthspindle::internal
--- /dev/null
+++ b/src/core/ChainPlanner.cpp
@@ -0,0 +1,181 @@
+// Search for the chain with the least expected time over a few candidates of each stage.
+
+#include "spindlecore/internal/ChainPlanner.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace jacinthspindle::internal {
+
+namespace {
+
+    // A full batch is taken to be slower than an empty one by this ratio.
+    constexpr double batchSlowdown = 0.5;
+    // Seconds for which an attempt holds a slot, for the wait at an endpoint without room.
+    constexpr double typicalHold = 4;
+    // Bounds the cost of a decision when ranges overlap in many ways.
+    constexpr size_t maxCandidates = 32;
+
+    bool contains(const std::vector<EndpointIndex>* list, EndpointIndex index)
+    {
+        return list && std::find(list->begin(), list->end(), index) != list->end();
+    }
+
+} // namespace
+
+ChainPlanner::ChainPlanner(
+    const EndpointBook& book, const ServiceModel& model, const PrefixIndex& prefixes, uint32_t choices)
+    : m_book(book)
+    , m_model(model)
+    , m_prefixes(prefixes)
+    , m_choices(choices)
+{
+}
+
+bool ChainPlanner::addCandidate(Instant now, const StageGroup& group, EndpointIndex index, const PlanRequest& request)
+{
+    const auto& entry = m_book[index];
+    if (!entry.mayServe() || !entry.breaker.mayTry(now) || contains(request.avoid, index))
+        return false;
+    double room = m_book.room(now, entry);
+    if (request.needsRoom && room < 1)
+        return false;
+    for (const auto& it : m_candidates) {
+        if (it.index == index)
+            return true;
+    }
+    double slots = std::max(1U, entry.row.slots);
+    double load = std::clamp(1 - (room - 1) / slots, 0.0, 1.0);
+    auto time = m_model.layerTime(entry);
+    Candidate candidate;
+    candidate.index = index;
+    candidate.group = &group;
+    if (request.prefixDigests)
+        candidate.uncached = 1 - m_prefixes.expectedShare(index, *request.prefixDigests);
+    double slowdown = 1 + batchSlowdown * load;
+    candidate.prefill = request.promptTokens * candidate.uncached * time.prefill * slowdown;
+    candidate.decode = time.decode * slowdown;
+    candidate.wait = room < 1 ? (1 - room) * typicalHold / slots : 0;
+    m_candidates.push_back(candidate);
+    return true;
+}
+
+void ChainPlanner::collect(Instant now, const Pool& pool, const PlanRequest& request, std::mt19937_64& random)
+{
+    m_candidates.clear();
+    size_t share = std::max<size_t>(1, maxCandidates / std::max<size_t>(1, pool.groups.size()));
+    for (const auto& group : pool.groups) {
+        if (group.members.empty())
+            continue;
+        size_t wanted = m_choices ? std::min<size_t>(m_choices, share) : group.members.size();
+        size_t start = random() % group.members.size();
+        for (size_t i = 0, found = 0; i < group.members.size() && found < wanted; ++i)
+            found += addCandidate(now, group, group.members[(start + i) % group.members.size()], request);
+    }
+    if (!request.prefixDigests || request.prefixDigests->empty())
+        return;
+    for (auto holder : m_prefixes.holders(*request.prefixDigests)) {
+        for (const auto& group : pool.groups) {
+            bool isMember = std::find(group.members.begin(), group.members.end(), holder) != group.members.end();
+            if (isMember && m_candidates.size() < maxCandidates)
+                addCandidate(now, group, holder, request);
+        }
+    }
+}
+
+Plan ChainPlanner::planService(Instant now, const Pool& pool, const PlanRequest&)
+{
+    Plan plan;
+    const Candidate* best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const auto& it : m_candidates) {
+        const auto& entry = m_book[it.index];
+        double cost = m_model.callTime(entry) * (1 + m_book.outstanding(now, entry)) / std::max(1U, entry.row.weight);
+        if (cost < bestCost) {
+            best = &it;
+            bestCost = cost;
+        }
+    }
+    if (!best || pool.groups.empty())
+        return plan;
+    plan.chain.push_back({ m_book[best->index].row.endpoint, {} });
+    plan.hops.push_back(best->index);
+    plan.firstToken = m_model.callTime(m_book[best->index]) + best->wait;
+    return plan;
+}
+
+Plan ChainPlanner::plan(Instant now, const Pool& pool, const PlanRequest& request, std::mt19937_64& random)
+{
+    collect(now, pool, request, random);
+    if (pool.kind == RouteKind::Service)
+        return planService(now, pool, request);
+    m_steps.clear();
+    const double none = std::numeric_limits<double>::max();
+    int32_t best = -1;
+    double bestCost = none;
+    auto last = static_cast<uint32_t>(pool.boundaries.size() - 1);
+    // Boundaries are visited in ascending order, so that all steps that end at one are known when it is left.
+    for (uint32_t from = 0; from < last; ++from) {
+        for (uint32_t i = 0; i < m_candidates.size(); ++i) {
+            const auto& candidate = m_candidates[i];
+            if (candidate.group->firstBoundary > from || candidate.group->endBoundary <= from)
+                continue;
+            double before = from ? none : 0;
+            int32_t previous = -1;
+            for (size_t step = 0; from && step < m_steps.size(); ++step) {
+                if (m_steps[step].to != from || m_steps[step].candidate == i)
+                    continue;
+                double link
+                    = m_model.linkTime(m_book[m_candidates[m_steps[step].candidate].index], m_book[candidate.index]);
+                double cost = m_steps[step].cost + link * (request.tokens + request.promptTokens);
+                if (cost < before) {
+                    before = cost;
+                    previous = static_cast<int32_t>(step);
+                }
+            }
+            if (before == none)
+                continue;
+            for (uint32_t to = from + 1; to <= std::min(last, candidate.group->endBoundary); ++to) {
+                double layers = pool.boundaries[to] - pool.boundaries[from];
+                double cost
+                    = before + candidate.wait + layers * (candidate.prefill + request.tokens * candidate.decode);
+                m_steps.push_back({ cost, previous, i, from, to });
+                if (to == last && cost < bestCost) {
+                    bestCost = cost;
+                    best = static_cast<int32_t>(m_steps.size() - 1);
+                }
+            }
+        }
+    }
+    return trace(pool, request, best);
+}
+
+Plan ChainPlanner::trace(const Pool& pool, const PlanRequest& request, int32_t last) const
+{
+    Plan plan;
+    std::vector<const Step*> path;
+    for (int32_t step = last; step >= 0; step = m_steps[static_cast<size_t>(step)].previous)
+        path.push_back(&m_steps[static_cast<size_t>(step)]);
+    std::reverse(path.begin(), path.end());
+    double uncached = 0;
+    for (const auto* step : path) {
+        const auto& candidate = m_candidates[step->candidate];
+        LayerRange layers { pool.boundaries[step->from], pool.boundaries[step->to] };
+        if (!plan.hops.empty()) {
+            double link = m_model.linkTime(m_book[plan.hops.back()], m_book[candidate.index]);
+            plan.perToken += link;
+            plan.firstToken += link * request.promptTokens;
+        }
+        plan.chain.push_back({ m_book[candidate.index].row.endpoint, layers });
+        plan.hops.push_back(candidate.index);
+        plan.perToken += layers.count() * candidate.decode;
+        plan.firstToken += candidate.wait + layers.count() * candidate.prefill;
+        uncached += candidate.uncached * layers.count() / pool.layers;
+        plan.expectsHit = plan.expectsHit || candidate.uncached < 1;
+    }
+    plan.firstToken += plan.perToken;
+    plan.promptTokens = request.promptTokens * uncached;
+    return plan;
+}
+
+} // namespace jacinthspindle::internal
--- a/test/core/DecisionCoreTest.cpp
+++ b/test/core/DecisionCoreTest.cpp
@@ -17,6 +17,14 @@
     return decisions;
 }
 
+CoreConfig config(uint64_t seed)
+{
+    CoreConfig config;
+    config.dataCentre = DataCentreId("north");
+    config.seed = seed;
+    return config;
+}
+
 CoreInput tableInput()
 {
     return TableAdopted { std::make_shared<const Table>(test::sampleTable()) };
@@ -31,7 +39,7 @@
 
 TEST_CASE("a request for a model route is dispatched to a chain that covers every layer once")
 {
-    DecisionCore core(CoreConfig { DataCentreId("north"), 1 });
+    DecisionCore core(config(1));
     auto decisions = applyAll(core, { tableInput(), arrival("r1") });
     REQUIRE(decisions.size() == 1);
     const auto& dispatch = std::get<Dispatch>(decisions.front());
@@ -46,7 +54,7 @@
 
 TEST_CASE("a request for a plain service is dispatched to one hop with an empty range")
 {
-    DecisionCore core(CoreConfig { DataCentreId("north"), 1 });
+    DecisionCore core(config(1));
     auto decisions = applyAll(core, { tableInput(), arrival("r1", "loans") });
     REQUIRE(decisions.size() == 1);
     const auto& dispatch = std::get<Dispatch>(decisions.front());
@@ -56,7 +64,7 @@
 
 TEST_CASE("a request before the first table is refused")
 {
-    DecisionCore core(CoreConfig { DataCentreId("north"), 1 });
+    DecisionCore core(config(1));
     auto decisions = applyAll(core, { arrival("r1") });
     REQUIRE(decisions.size() == 1);
     CHECK(std::get<Refuse>(decisions.front()).code == ResultCode::TableNotReady);
@@ -64,7 +72,7 @@
 
 TEST_CASE("a failed stage is replaced at the position reached without the endpoint at fault")
 {
-    DecisionCore core(CoreConfig { DataCentreId("north"), 1 });
+    DecisionCore core(config(1));
     auto first = std::get<Dispatch>(applyAll(core, { tableInput(), arrival("r1") }).front());
     auto atFault = first.chain[1].endpoint;
     std::vector<CoreDecision> decisions;
@@ -80,12 +88,12 @@
 
 TEST_CASE("an attempt that must not be repeated ends the request")
 {
-    DecisionCore core(CoreConfig { DataCentreId("north"), 1 });
+    DecisionCore core(config(1));
     auto decisions = applyAll(core,
         { tableInput(), arrival("r1", "loans"),
             AttemptFailed { RequestId("r1"), 1, EndpointId("catalogue-1"), FailureKind::StreamBroken, 0, false } });
     REQUIRE(decisions.size() == 2);
-    CHECK(std::get<Abandon>(decisions.back()).code == ResultCode::EndpointFailed);
+    CHECK(std::get<Abandon>(decisions.back()).code == ResultCode::OutcomeUnknown);
 }
 
 TEST_CASE("the same inputs and seed give identical decisions")
@@ -93,7 +101,7 @@
     std::vector<CoreInput> inputs { arrival("early"), tableInput() };
     for (int i = 0; i < 50; ++i)
         inputs.emplace_back(arrival("r" + std::to_string(i)));
-    DecisionCore a(CoreConfig { DataCentreId("north"), 9 });
-    DecisionCore b(CoreConfig { DataCentreId("north"), 9 });
+    DecisionCore a(config(9));
+    DecisionCore b(config(9));
     CHECK(applyAll(a, inputs) == applyAll(b, inputs));
 }
