Refill own freed slots and share only the others; smooth the estimate of peers

Cause: a daemon with few attempts saw up to 260 peers where there were 16, and held requests back until they were refused; own bursts counted as bursts of all peers. Change: slots that own attempts left are refilled at once, other free slots are shared; the number of peers comes from smoothed sums with a prior and is capped.

--- a/include/spindlecore/internal/DispatchGate.h
+++ b/include/spindlecore/internal/DispatchGate.h
@@ -7,13 +7,14 @@
 namespace jacinthspindle::internal {
 
 // The daemons see the same free slots at the same time. The gate estimates how many daemons of this one's size there
-// are, from its part of the reported load, and takes only its share: each own attempt since the last report stands for
-// one attempt of each peer, and a fraction of a slot is taken with this probability.
+// are, from its part of the reported load. Slots that its own attempts left are its own to fill again; of the other
+// free slots it takes only its share, and a fraction of a slot is taken with this probability.
 class DispatchGate {
 public:
     // peersAtStart: estimate before there is load to measure.
     explicit DispatchGate(double peersAtStart)
-        : m_peers(peersAtStart)
+        : m_peersAtStart(peersAtStart)
+        , m_peers(peersAtStart)
     {
     }
 
@@ -30,7 +31,10 @@
     static double slots(const EndpointBook&, const Pool&);
 
 private:
+    double m_peersAtStart;
     double m_peers;
+    double m_reported = 0; // Smoothed attempts of all daemons and of this one.
+    double m_own = 0;
     double m_threshold = 0.5; // Uniform in [0, 1).
 };
 
--- a/src/core/DispatchGate.cpp
+++ b/src/core/DispatchGate.cpp
@@ -9,8 +9,13 @@
 
 namespace {
 
-    constexpr double greatestPeers = 1000;
-    constexpr double peersRate = 0.1;
+    // Subsets bound the number of daemons that share an endpoint; a daemon without work must not see an endless number.
+    constexpr double greatestPeers = 64;
+    constexpr double peersRate = 0.02;
+    // The estimate starts with this many attempts of own load, so that a few attempts do not swing it.
+    constexpr double priorAttempts = 4;
+    // Own growth since the last report is a noisy sample of what the peers did; it counts by this part for each peer.
+    constexpr double peerGrowth = 0.5;
 
 } // namespace
 
@@ -20,22 +25,27 @@
     size_t segments = pool.boundaries.size() > 1 ? pool.boundaries.size() - 1 : 1;
     for (uint32_t segment = 0; segment < segments; ++segment) {
         double free = 0;
-        double ownChange = 0;
+        double freed = 0; // Slots that own attempts left since the last report; the peers do not see them yet.
+        double grown = 0;
         bool hasReports = false;
         for (const auto& group : pool.groups) {
             if (pool.layers && (group.firstBoundary > segment || group.endBoundary <= segment))
                 continue;
             for (auto index : group.members) {
                 const auto& entry = book[index];
-                free += std::max(0.0, book.room(now, entry));
+                double room = std::max(0.0, book.room(now, entry));
+                free += room;
                 if (!book.hasFreshReport(now, entry))
                     continue;
                 hasReports = true;
-                ownChange += static_cast<double>(entry.own) - entry.ownAtReport;
+                double change = static_cast<double>(entry.own) - entry.ownAtReport;
+                freed += std::min(room, std::max(0.0, -change));
+                grown += std::max(0.0, change);
             }
         }
         // Without reports the limit of each endpoint is the only bound.
-        double share = hasReports ? (free - (m_peers - 1) * ownChange) / m_peers : free;
+        double shared = free - freed - (m_peers - 1) * peerGrowth * grown;
+        double share = hasReports ? freed + shared / m_peers : free;
         least = std::min(least, share);
     }
     return least;
@@ -64,11 +74,10 @@
             own += entry.ownAtReport;
         }
     }
-    // A few attempts say little about the share of this daemon.
-    if (reported < 1)
-        return;
-    double measured = std::clamp(reported / std::max(own, 0.5), 1.0, greatestPeers);
-    m_peers += peersRate * (measured - m_peers);
+    m_reported += peersRate * (reported - m_reported);
+    m_own += peersRate * (own - m_own);
+    double measured = (m_reported + priorAttempts * m_peersAtStart) / (m_own + priorAttempts);
+    m_peers = std::clamp(measured, 1.0, greatestPeers);
 }
 
 double DispatchGate::slots(const EndpointBook& book, const Pool& pool)
