Prefer slots that own attempts left over slots that other daemons may take

Cause: daemons that see the same few free slots take them at the same time; attempts then hold upstream slots while they wait at a stage. Change: the planner adds the expected cost of a clash to endpoints with little room, except to own freed slots.

--- a/src/core/ChainPlanner.cpp
+++ b/src/core/ChainPlanner.cpp
@@ -13,6 +13,7 @@
     constexpr double batchSlowdown = 0.5;
     // Seconds for which an attempt holds a slot, for the wait at an endpoint without room.
     constexpr double typicalHold = 4;
+    constexpr double clashWeight = 3;
     // Bounds the cost of a decision when ranges overlap in many ways.
     constexpr size_t maxCandidates = 32;
 
@@ -55,7 +56,10 @@
     double slowdown = 1 + batchSlowdown * load;
     candidate.prefill = request.promptTokens * candidate.uncached * time.prefill * slowdown;
     candidate.decode = time.decode * slowdown;
-    candidate.wait = room < 1 ? (1 - room) * typicalHold / slots : 0;
+    // A slot that an own attempt left is certain; another daemon may take one of a few others at the same time.
+    bool isOwnSlot = entry.own < entry.ownAtReport;
+    double clash = isOwnSlot ? 0 : clashWeight / std::max(1.0, room);
+    candidate.wait = (std::max(0.0, 1 - room) + clash) * typicalHold / slots;
     m_candidates.push_back(candidate);
     return true;
 }
