Take shared free slots more carefully near saturation

Cause: near saturation most free slots in a report are refilled by their owner before the report arrives; 16 daemons that take their full share of them clash, and attempts wait at engines. Change: the gate takes a part of its share that falls with the free part of the pool, a quarter at least.

--- a/src/core/DispatchGate.cpp
+++ b/src/core/DispatchGate.cpp
@@ -17,6 +17,10 @@
     // Own growth since the last report is a noisy sample of what the peers did; it counts by this part for each peer.
     constexpr double peerGrowth = 0.5;
 
+    // Part of the shared slots that is taken: this slope times the free part of the pool, but at least a little.
+    constexpr double cautionSlope = 4;
+    constexpr double leastTaken = 0.25;
+
 } // namespace
 
 double DispatchGate::allowance(Instant now, const EndpointBook& book, const Pool& pool) const
@@ -27,6 +31,7 @@
         double free = 0;
         double freed = 0; // Slots that own attempts left since the last report; the peers do not see them yet.
         double grown = 0;
+        double slots = 0;
         bool hasReports = false;
         for (const auto& group : pool.groups) {
             if (pool.layers && (group.firstBoundary > segment || group.endBoundary <= segment))
@@ -35,6 +40,7 @@
                 const auto& entry = book[index];
                 double room = std::max(0.0, book.room(now, entry));
                 free += room;
+                slots += entry.row.slots;
                 if (!book.hasFreshReport(now, entry))
                     continue;
                 hasReports = true;
@@ -45,7 +51,9 @@
         }
         // Without reports the limit of each endpoint is the only bound.
         double shared = free - freed - (m_peers - 1) * peerGrowth * grown;
-        double share = hasReports ? freed + shared / m_peers : free;
+        // Near saturation a free slot is likely to be taken by the daemon that left it before its report arrives.
+        double caution = std::clamp(cautionSlope * free / slots, leastTaken, 1.0);
+        double share = hasReports ? freed + caution * shared / m_peers : free;
         least = std::min(least, share);
     }
     return least;
