Prefer chains of like speed

Cause: 95 % of the slots were busy at overload, but chains of unlike speed hold the slots of fast stages while the slow ones compute. Change: the planner adds the idle time of the faster stage to the cost of each pair of neighbours.

--- a/src/core/ChainPlanner.cpp
+++ b/src/core/ChainPlanner.cpp
@@ -3,6 +3,7 @@
 #include "spindlecore/internal/ChainPlanner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace jacinthspindle::internal {
@@ -14,6 +15,8 @@
     // Seconds for which an attempt holds a slot, for the wait at an endpoint without room.
     constexpr double typicalHold = 4;
     constexpr double clashWeight = 3;
+    // In a chain of unlike speeds the slots of the faster stages are idle while the slower ones compute.
+    constexpr double mismatchWeight = 5;
     // Bounds the cost of a decision when ranges overlap in many ways.
     constexpr size_t maxCandidates = 32;
 
@@ -118,6 +121,7 @@
     int32_t best = -1;
     double bestCost = none;
     auto last = static_cast<uint32_t>(pool.boundaries.size() - 1);
+    double stageLayers = last ? static_cast<double>(pool.layers) / last : 0;
     // Boundaries are visited in ascending order, so that all steps that end at one are known when it is left.
     for (uint32_t from = 0; from < last; ++from) {
         for (uint32_t i = 0; i < m_candidates.size(); ++i) {
@@ -129,9 +133,11 @@
             for (size_t step = 0; from && step < m_steps.size(); ++step) {
                 if (m_steps[step].to != from || m_steps[step].candidate == i)
                     continue;
-                double link
-                    = m_model.linkTime(m_book[m_candidates[m_steps[step].candidate].index], m_book[candidate.index]);
-                double cost = m_steps[step].cost + link * (request.tokens + request.promptTokens);
+                const auto& earlier = m_candidates[m_steps[step].candidate];
+                double link = m_model.linkTime(m_book[earlier.index], m_book[candidate.index]);
+                double mismatch = mismatchWeight * stageLayers * std::abs(earlier.decode - candidate.decode);
+                double cost
+                    = m_steps[step].cost + link * (request.tokens + request.promptTokens) + mismatch * request.tokens;
                 if (cost < before) {
                     before = cost;
                     previous = static_cast<int32_t>(step);
