--- /dev/null
+++ b/src/daemon/Metrics.h
@@ -0,0 +1,88 @@
+// Counters and distributions, and their Prometheus text form.
+
+#pragma once
+
+#include "spindlecore/ResultCode.h"
+#include "spindlecore/Types.h"
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace jacinthspindle::daemon {
+
+enum class Counter : uint8_t {
+    RequestsArrived,
+    RequestsFinished,
+    CallersGone,
+    AttemptsStarted,
+    AttemptsFailed,
+    TokensSent,
+    TokensDropped,
+    StreamsResumed,
+    ServiceCalls,
+    ActionsRun,
+    ConnectionsRefused,
+    ControlInputs,
+    ControlInputsDropped,
+    ControlInputsRefused,
+    PeerMessagesReceived,
+    PeerMessagesRejected,
+    PeerMessagesDropped,
+    TablesAdopted,
+    TraceRecords,
+    TraceRecordsLost,
+    TraceBatches,
+    TraceBatchesFailed,
+    PlatformFailures,
+    Count_,
+};
+
+enum class Distribution : uint8_t {
+    DecisionTime, // Of one input in the decision core.
+    ControlWait, // From the moment an input is posted until it is applied.
+    FirstToken, // From arrival to the first token.
+    TokenGap, // Between two tokens of a stream.
+    TokenOverhead, // From the engine's token to the end of the write to the caller.
+    RequestTime, // From arrival to the end.
+    Count_,
+};
+
+// Thread-safe.
+class Metrics {
+public:
+    Metrics();
+    ~Metrics();
+
+    void add(Counter, uint64_t amount = 1);
+    uint64_t value(Counter) const;
+    void addResult(ResultCode); // Counts how a request ended.
+    void observe(Distribution, Duration);
+
+    // Adds a figure that is read each time the text is made. Call it before the first reader starts.
+    void addGauge(const std::string& name, const std::string& help, std::function<double()> read);
+
+    // Returns all figures in the Prometheus text format 0.0.4.
+    std::string prometheusText() const;
+
+private:
+    struct Gauge {
+        std::string name;
+        std::string help;
+        std::function<double()> read;
+    };
+    class Summary;
+
+    std::array<std::atomic<uint64_t>, static_cast<size_t>(Counter::Count_)> m_counters {};
+    std::array<std::unique_ptr<Summary>, static_cast<size_t>(Distribution::Count_)> m_summaries;
+    mutable std::mutex m_resultMutex;
+    std::map<ResultCode, uint64_t> m_results;
+    std::vector<Gauge> m_gauges;
+};
+
+} // namespace jacinthspindle::daemon
