--- a/include/spindleadapters/spindleadapters.h
+++ b/include/spindleadapters/spindleadapters.h
@@ -3,4 +3,7 @@
 #pragma once
 
 #include "spindleadapters/ActionCodec.h" // IWYU pragma: export
+#include "spindleadapters/NngPeerTransport.h" // IWYU pragma: export
+#include "spindleadapters/PeerCodec.h" // IWYU pragma: export
+#include "spindleadapters/PeerTraceCodec.h" // IWYU pragma: export
 #include "spindleadapters/TraceCodec.h" // IWYU pragma: export
