--- a/include/spindlecore/PeerMessage.h
+++ b/include/spindlecore/PeerMessage.h
@@ -36,17 +36,17 @@
 };
 
 // Position of a daemon's table in the chain of changes, as carried by pings. All three values are 0 without a table.
-struct TableHead {
+struct PeerTableHead {
     uint64_t revision = 0;
     uint64_t digest = 0; // First 64 bits of Table::digest, the digest of the history.
     uint64_t content = 0; // tableContentDigest() of the rows.
-    bool operator==(const TableHead&) const = default;
+    bool operator==(const PeerTableHead&) const = default;
     JACINTHSPINDLE_FIELDS(self.revision, self.digest, self.content)
 };
 
 // Table state that travels with pings and acknowledgements.
 struct TableStatus {
-    TableHead head;
+    PeerTableHead head;
     std::chrono::milliseconds age {}; // Since the platform last confirmed a head, over the best known path.
     bool operator==(const TableStatus&) const = default;
     JACINTHSPINDLE_FIELDS(self.head, self.age)
@@ -162,13 +162,13 @@
     JACINTHSPINDLE_FIELDS(self.row, self.attempt, self.epoch, self.incarnation)
 };
 
-enum class AttemptState : uint8_t { Unknown = 0, InProgress = 1, Abandoned = 2 };
+enum class PeerActionState : uint8_t { Unknown = 0, InProgress = 1, Abandoned = 2 };
 
 struct ActionVerdict {
     std::string row;
     std::string attempt;
     uint64_t epoch = 0;
-    AttemptState state = AttemptState::Unknown;
+    PeerActionState state = PeerActionState::Unknown;
     bool operator==(const ActionVerdict&) const = default;
     JACINTHSPINDLE_FIELDS(self.row, self.attempt, self.epoch, self.state)
 };
--- a/include/spindlecore/TableReplica.h
+++ b/include/spindlecore/TableReplica.h
@@ -13,7 +13,7 @@
 
 // First 64 bits of a digest over all rows. Two daemons at the same revision have the same value.
 uint64_t tableContentDigest(const Table&);
-TableHead headOf(const Table&, uint64_t content);
+PeerTableHead headOf(const Table&, uint64_t content);
 
 struct TableReplicaConfig {
     HostId self;
@@ -117,7 +117,7 @@
     void apply(Instant now, const ReplicaInput&, std::vector<ReplicaOutput>&);
 
     const std::shared_ptr<const Table>& table() const { return m_table; } // Null until the first adoption.
-    TableHead head() const { return m_head; }
+    PeerTableHead head() const { return m_head; }
     // How old the last confirmation by the platform is, over the best known path.
     std::chrono::milliseconds age(Instant now) const;
     TableStatus status(Instant now) const { return { m_head, age(now) }; }
@@ -157,7 +157,7 @@
     void confirm(Instant at);
     void send(const MemberUpdate&, PeerBody, Outputs&);
     const MemberUpdate* findMember(const HostId&) const;
-    bool isVouched(const HostId& from, const TableHead&) const;
+    bool isVouched(const HostId& from, const PeerTableHead&) const;
     std::chrono::milliseconds pollDelay();
     size_t below(size_t n) { return n ? m_random() % n : 0; }
 
@@ -165,10 +165,10 @@
     ReplicaFault m_fault;
     std::mt19937_64 m_random;
     std::shared_ptr<const Table> m_table;
-    TableHead m_head;
+    PeerTableHead m_head;
     std::deque<std::shared_ptr<const TableDelta>> m_changes; // Contiguous, ends at the table's revision.
     std::map<HostId, MemberUpdate> m_members;
-    std::map<HostId, TableHead> m_peerHeads; // Last head seen of each live member.
+    std::map<HostId, PeerTableHead> m_peerHeads; // Last head seen of each live member.
     std::optional<Assembly> m_assembly;
     HeadSeen m_platformHead;
     bool m_isPoller = false;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -2,12 +2,15 @@
 
 #include "daemon/Settings.h"
 
+#include "spindleadapters/Environment.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cctype>
 #include <charconv>
+#include <map>
 #include <memory>
 #include <tclap/CmdLine.h>
-#include <unistd.h>
 
 namespace jacinthspindle::daemon {
 
@@ -44,15 +47,6 @@
         { "seed", "Seed of all random choices; 0 takes one from the system" },
     };
 
-    std::string variableName(const std::string& flag)
-    {
-        std::string name = "JACINTHSPINDLE_" + flag;
-        std::replace(name.begin(), name.end(), '-', '_');
-        std::transform(name.begin(), name.end(), name.begin(),
-            [](char it) { return it >= 'a' && it <= 'z' ? static_cast<char>(it - 'a' + 'A') : it; });
-        return name;
-    }
-
     std::string shownValue(const std::string& value)
     {
         std::string shown = value.substr(0, maxShownValue);
@@ -68,58 +62,61 @@
     // Holds the raw text of all settings and collects faults while they are converted.
     class SettingReader {
     public:
-        SettingReader(const Environment& environment, std::vector<SettingFault>& faults)
-            : m_environment(environment)
-            , m_faults(faults)
+        explicit SettingReader(std::vector<SettingFault>& faults)
+            : m_faults(faults)
         {
         }
 
+        // Each flag takes several values and unknown arguments are collected, because TCLAP gives up at its first fault.
         void parseFlags(const std::vector<std::string>& arguments)
         {
             TCLAP::CmdLine line("Routes language-model pipelines over mixed accelerators.", ' ', programVersion);
             line.setExceptionHandling(false);
-            std::vector<std::unique_ptr<TCLAP::ValueArg<std::string>>> flags;
+            TCLAP::UnlabeledMultiArg<std::string> unknown("unknown", "Nothing else is allowed", false, "text", line);
+            std::vector<std::unique_ptr<TCLAP::MultiArg<std::string>>> flags;
+            std::vector<std::string> names;
             for (const auto& it : flagTexts) {
-                flags.push_back(std::make_unique<TCLAP::ValueArg<std::string>>(
-                    "", it.name, it.description, false, "", "text", line));
+                names.emplace_back(it.name);
+                flags.push_back(std::make_unique<TCLAP::MultiArg<std::string>>(
+                    "", it.name, it.description, false, "text", line));
             }
             try {
-                auto copy = arguments;
-                line.parse(copy);
+                auto all = withEnvironment(arguments, names);
+                line.parse(all);
             } catch (const TCLAP::ArgException& error) {
-                m_faults.push_back({ "command line", shownValue(error.argId()), shownValue(error.error()) });
+                m_faults.push_back({ "command line", shownValue(error.argId()), "a value after each flag" });
             }
+            for (const auto& it : unknown.getValue())
+                m_faults.push_back({ "command line", shownValue(it), "the flags that --help lists" });
             for (const auto& it : flags) {
                 if (it->isSet())
-                    m_flags[it->getName()] = it->getValue();
+                    m_values[it->getName()] = it->getValue().back();
+                if (it->getValue().size() > 1)
+                    fault(it->getName(), it->getValue().back(), "one value");
             }
         }
 
         std::optional<std::string> text(const std::string& flag) const
         {
-            if (auto it = m_flags.find(flag); it != m_flags.end())
-                return it->second;
-            if (auto it = m_environment.find(variableName(flag)); it != m_environment.end())
-                return it->second;
-            return std::nullopt;
+            auto it = m_values.find(flag);
+            return it == m_values.end() ? std::nullopt : std::optional(it->second);
         }
 
         void fault(const std::string& flag, const std::string& value, const std::string& allowed)
         {
-            bool isFromFlag = m_flags.count(flag) > 0;
-            m_faults.push_back({ isFromFlag ? "--" + flag : "--" + flag + " (" + variableName(flag) + ")",
+            m_faults.push_back({ "--" + flag + " or " + environmentName(flag),
                 flag == "peer-key" ? "(not shown)" : shownValue(value), allowed });
         }
 
         std::string name(const std::string& flag)
         {
             auto value = text(flag).value_or("");
-            bool isValid = !value.empty() && value.size() <= maxNameLength
+            bool isValid = !value.empty() && value.size() <= maxNameLength && std::isalnum(value.front()) != 0
                 && std::all_of(value.begin(), value.end(), [](unsigned char it) {
                        return std::isalnum(it) != 0 || it == '-' || it == '_' || it == '.';
                    });
             if (!isValid)
-                fault(flag, value, "1-64 letters, digits, '-', '_' or '.'");
+                fault(flag, value, "1-64 letters, digits, '-', '_' or '.', starting with a letter or digit");
             return value;
         }
 
@@ -182,31 +179,16 @@
         }
 
     private:
-        const Environment& m_environment;
         std::vector<SettingFault>& m_faults;
-        std::map<std::string, std::string> m_flags;
+        std::map<std::string, std::string> m_values;
     };
 
 } // namespace
 
-Environment readEnvironment()
-{
-    Environment found;
-    const std::string prefix = "JACINTHSPINDLE_";
-    for (char** it = environ; it && *it; ++it) {
-        std::string entry(*it);
-        size_t equals = entry.find('=');
-        if (entry.compare(0, prefix.size(), prefix) == 0 && equals != std::string::npos)
-            found[entry.substr(0, equals)] = entry.substr(equals + 1);
-    }
-    return found;
-}
-
-std::optional<Settings> readSettings(
-    const std::vector<std::string>& arguments, const Environment& environment, std::vector<SettingFault>& faults)
+std::optional<Settings> readSettings(const std::vector<std::string>& arguments, std::vector<SettingFault>& faults)
 {
     size_t before = faults.size();
-    SettingReader reader(environment, faults);
+    SettingReader reader(faults);
     reader.parseFlags(arguments);
     Settings settings;
     settings.host = HostId(reader.name("host"));
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -6,7 +6,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -40,15 +39,9 @@
     std::string allowed;
 };
 
-// Values of the environment variables whose names start with JACINTHSPINDLE_.
-using Environment = std::map<std::string, std::string>;
-
-// Reads the environment of this process. Call it before the first thread starts.
-Environment readEnvironment();
-
 // Returns the settings, or nothing after adding every fault that was found. arguments holds the program's name first.
-std::optional<Settings> readSettings(
-    const std::vector<std::string>& arguments, const Environment&, std::vector<SettingFault>& faults);
+// Call it before the first thread starts, because it reads the environment.
+std::optional<Settings> readSettings(const std::vector<std::string>& arguments, std::vector<SettingFault>& faults);
 
 // Returns one line for each fault.
 std::string describeFaults(const std::vector<SettingFault>&);
