--- a/include/spindlecore/PeerMessage.h
+++ b/include/spindlecore/PeerMessage.h
@@ -115,23 +115,25 @@
     WorkspaceId workspace;
     uint32_t demand = 0;
     uint32_t held = 0;
+    uint64_t round = 0; // Of the report that the lease in use answered; 0 without a lease.
     bool operator==(const LimitEntry&) const = default;
-    JACINTHSPINDLE_FIELDS(self.workspace, self.demand, self.held)
+    JACINTHSPINDLE_FIELDS(self.workspace, self.demand, self.held, self.round)
 };
 
 // The level of the sharing tree at which a report or grant counts.
 enum class LimitLevel : uint8_t { Daemon = 0, DataCentre = 1 };
 
-// Sent by a daemon to the coordinator of a group of workspaces. Workspaces without an entry have no demand.
+// Sent by a daemon to the coordinator of a group of workspaces, and by that one to the group's coordinator of all data
+// centres. Workspaces without an entry use no more than the standing share.
 struct LimitReport {
     LimitLevel level = LimitLevel::Daemon;
     uint32_t group = 0;
     uint64_t round = 0; // Number of the report; the grant repeats it.
-    uint64_t lastGrant = 0; // Round of the last grant that the sender applied.
-    bool isComplete = true; // False: only the listed workspaces changed since the last complete report.
+    bool isComplete = true; // False: workspaces without an entry are as in the last report.
+    bool isDetached = false; // The sender got no answers and uses its guaranteed shares.
     std::vector<LimitEntry> entries;
     bool operator==(const LimitReport&) const = default;
-    JACINTHSPINDLE_FIELDS(self.level, self.group, self.round, self.lastGrant, self.isComplete, self.entries)
+    JACINTHSPINDLE_FIELDS(self.level, self.group, self.round, self.isComplete, self.isDetached, self.entries)
 };
 
 struct LimitLease {
@@ -156,10 +158,10 @@
 struct ActionQuery {
     std::string row; // "action/<workspace>/<key>"
     std::string attempt; // The attempt that the row names.
-    uint64_t epoch = 0;
+    uint64_t version = 0; // Of the row, as the asker saw it.
     uint64_t incarnation = 0; // Of the owner, as the row names it.
     bool operator==(const ActionQuery&) const = default;
-    JACINTHSPINDLE_FIELDS(self.row, self.attempt, self.epoch, self.incarnation)
+    JACINTHSPINDLE_FIELDS(self.row, self.attempt, self.version, self.incarnation)
 };
 
 enum class PeerActionState : uint8_t { Unknown = 0, InProgress = 1, Abandoned = 2 };
@@ -167,10 +169,10 @@
 struct ActionVerdict {
     std::string row;
     std::string attempt;
-    uint64_t epoch = 0;
+    uint64_t version = 0; // Of the query.
     PeerActionState state = PeerActionState::Unknown;
     bool operator==(const ActionVerdict&) const = default;
-    JACINTHSPINDLE_FIELDS(self.row, self.attempt, self.epoch, self.state)
+    JACINTHSPINDLE_FIELDS(self.row, self.attempt, self.version, self.state)
 };
 
 // The order of the alternatives is part of the format; new ones are added at the end.
