--- a/src/daemon/ActionRun.cpp
+++ b/src/daemon/ActionRun.cpp
@@ -128,8 +128,8 @@
             return LookupAnswered { output.step, answer };
         }
 
-        // AnswerCaller ends the loop before this; InputIgnored cannot follow an input of this loop. A time-out makes the
-        // machine end in both cases.
+        // AnswerCaller ends the loop before this; InputIgnored cannot follow an input of this loop. A time-out makes
+        // the machine end in both cases.
         ActionInput carryOut(const AnswerCaller& output) { return ActionTimedOut { output.step }; }
         ActionInput carryOut(const InputIgnored& output) { return ActionTimedOut { output.step }; }
 
--- a/src/daemon/CompletionJson.cpp
+++ b/src/daemon/CompletionJson.cpp
@@ -71,7 +71,8 @@
         auto member = body.find(name);
         if (member == body.end() || member->is_null())
             return std::nullopt;
-        bool isValid = member->is_number_unsigned() && member->get<uint64_t>() >= least && member->get<uint64_t>() <= most;
+        bool isValid
+            = member->is_number_unsigned() && member->get<uint64_t>() >= least && member->get<uint64_t>() <= most;
         if (!isValid)
             fail("'" + std::string(name) + "' must be a whole number of " + std::to_string(least) + "-"
                 + std::to_string(most));
--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -209,7 +209,7 @@
     m_metrics.observe(Distribution::DecisionTime, m_clock.now() - before);
     m_metrics.add(Counter::ControlInputs);
     if (m_companion)
-        m_companion->observe(now, input);
+        m_companion->observe(now, input, m_decisions);
     for (const auto& it : m_decisions) {
         TraceRecord decision;
         decision.tableRevision = m_table ? m_table->revision : 0;
--- a/src/daemon/ControlLoop.h
+++ b/src/daemon/ControlLoop.h
@@ -10,6 +10,7 @@
 #include "spindlecore/TableReplica.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -31,7 +32,7 @@
     virtual void apply(Instant, const PeerInput&, std::vector<CoreInput>&) = 0;
     virtual void tick(Instant, std::vector<CoreInput>&) = 0;
     // The core has applied an input.
-    virtual void observe(Instant, const CoreInput&) = 0;
+    virtual void observe(Instant, const CoreInput&, const std::vector<CoreDecision>&) = 0;
 };
 
 // Hands a Reprioritize to the engines; called on the control thread, so it must not block.
@@ -54,7 +55,8 @@
     // Posts what happened to an admitted request, or a change of this daemon. It is never dropped: each traffic thread
     // has at most a few such inputs on the way.
     void post(CoreInput);
-    // Posts a hint (progress, load, cache, messages). It is dropped when the queue is full. Returns whether it was taken.
+    // Posts a hint (progress, load, cache, messages). It is dropped when the queue is full. Returns whether it was
+    // taken.
     bool postHint(std::variant<CoreInput, PeerInput>);
 
     // The table in force; null until one was adopted.
--- a/src/daemon/Identities.cpp
+++ b/src/daemon/Identities.cpp
@@ -48,8 +48,8 @@
     auto traceId = text.substr(3, traceIdDigits);
     auto spanId = text.substr(36, spanIdDigits);
     auto flags = text.substr(53, 2);
-    bool hasForm = text[2] == '-' && text[35] == '-' && text[52] == '-' && isHex(traceId) && isHex(spanId) && isHex(flags)
-        && !isZero(traceId) && !isZero(spanId);
+    bool hasForm = text[2] == '-' && text[35] == '-' && text[52] == '-' && isHex(traceId) && isHex(spanId)
+        && isHex(flags) && !isZero(traceId) && !isZero(spanId);
     if (!hasForm)
         return std::nullopt;
     char last = flags[1];
--- a/src/daemon/Log.cpp
+++ b/src/daemon/Log.cpp
@@ -39,8 +39,7 @@
 void startLog(LogLevel level)
 {
     auto layout = std::make_shared<log4cxx::JSONLayout>();
-    auto appender
-        = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(levelOf(level));
 }
--- a/src/daemon/ModelStream.cpp
+++ b/src/daemon/ModelStream.cpp
@@ -80,6 +80,7 @@
     if (!m_cursor)
         return RequestEnd { reason.code, Execution::NotRun, {}, reason.text };
     m_seed = m_cursor->seed;
+    m_lastCursor = m_query.lastEventId;
     m_prefix.emplace(*m_cursor);
     m_context.metrics.add(Counter::StreamsResumed);
     return std::nullopt;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -67,7 +67,8 @@
         {
         }
 
-        // Each flag takes several values and unknown arguments are collected, because TCLAP gives up at its first fault.
+        // Each flag takes several values and unknown arguments are collected, because TCLAP gives up at its first
+        // fault.
         void parseFlags(const std::vector<std::string>& arguments)
         {
             TCLAP::CmdLine line("Routes language-model pipelines over mixed accelerators.", ' ', programVersion);
@@ -77,8 +78,8 @@
             std::vector<std::string> names;
             for (const auto& it : flagTexts) {
                 names.emplace_back(it.name);
-                flags.push_back(std::make_unique<TCLAP::MultiArg<std::string>>(
-                    "", it.name, it.description, false, "text", line));
+                flags.push_back(
+                    std::make_unique<TCLAP::MultiArg<std::string>>("", it.name, it.description, false, "text", line));
             }
             try {
                 auto all = withEnvironment(arguments, names);
@@ -112,9 +113,8 @@
         {
             auto value = text(flag).value_or("");
             bool isValid = !value.empty() && value.size() <= maxNameLength && std::isalnum(value.front()) != 0
-                && std::all_of(value.begin(), value.end(), [](unsigned char it) {
-                       return std::isalnum(it) != 0 || it == '-' || it == '_' || it == '.';
-                   });
+                && std::all_of(value.begin(), value.end(),
+                    [](unsigned char it) { return std::isalnum(it) != 0 || it == '-' || it == '_' || it == '.'; });
             if (!isValid)
                 fault(flag, value, "1-64 letters, digits, '-', '_' or '.', starting with a letter or digit");
             return value;
--- a/src/daemon/TraceRecorder.cpp
+++ b/src/daemon/TraceRecorder.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-    // 880 daemons with this interval write 88 batches per second, a fraction of the several hundred that the store takes.
+    // 880 daemons with this interval write 88 batches per second, a fraction of the several hundred that the store
+    // takes.
     constexpr std::chrono::seconds flushInterval { 10 };
     constexpr std::chrono::milliseconds flushPoll { 200 };
     constexpr std::chrono::milliseconds storeTimeout { 2000 };
@@ -19,8 +20,7 @@
 
 } // namespace
 
-TraceRecorder::TraceRecorder(
-    const TraceIdentity& identity, const Clock& clock, Metrics& metrics, size_t capacity)
+TraceRecorder::TraceRecorder(const TraceIdentity& identity, const Clock& clock, Metrics& metrics, size_t capacity)
     : m_identity(identity)
     , m_clock(clock)
     , m_metrics(metrics)
--- a/src/daemon/TrafficPath.cpp
+++ b/src/daemon/TrafficPath.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/TrafficPath.h"
 
+#include <algorithm>
+
 namespace jacinthspindle::daemon {
 
 namespace {
@@ -12,6 +14,16 @@
 
 } // namespace
 
+void recordTraceParent(TraceSink& trace, const RequestId& request, const std::string& traceParent)
+{
+    TraceRecord record;
+    record.request = request;
+    record.subject = "traceparent";
+    record.kind = TraceKind::StateChanged;
+    record.payload = traceParent;
+    trace.record(std::move(record));
+}
+
 Admission::Admission(TrafficContext& context, RequestArrived arrival)
     : m_context(context)
     , m_arrival(std::move(arrival))
@@ -42,8 +54,7 @@
     const EndpointId& atFault, FailureKind kind, uint32_t position, bool mayRepeat)
 {
     m_context.metrics.add(Counter::AttemptsFailed);
-    m_context.control.post(
-        AttemptFailed { m_arrival.request, m_dispatch.attempt, atFault, kind, position, mayRepeat });
+    m_context.control.post(AttemptFailed { m_arrival.request, m_dispatch.attempt, atFault, kind, position, mayRepeat });
     auto limit = std::max<Duration>(remaining(), Duration::zero()) + decisionReserve;
     return waitForDecision(limit);
 }
--- a/src/daemon/TrafficPath.h
+++ b/src/daemon/TrafficPath.h
@@ -30,6 +30,9 @@
     const CursorCodec& cursors;
 };
 
+// Records which W3C trace a request belongs to.
+void recordTraceParent(TraceSink&, const RequestId&, const std::string& traceParent);
+
 // How a request ended for its caller.
 struct RequestEnd {
     ResultCode code = ResultCode::Ok;
@@ -47,8 +50,8 @@
     Admission(const Admission&) = delete;
     Admission& operator=(const Admission&) = delete;
 
-    // Hands the request to the decision core and waits for the first decision. Returns how the request ended, or nothing
-    // when it was dispatched.
+    // Hands the request to the decision core and waits for the first decision. Returns how the request ended, or
+    // nothing when it was dispatched.
     std::optional<RequestEnd> admit();
     // Reports that the current attempt failed and waits for the next decision, likewise.
     std::optional<RequestEnd> retry(const EndpointId& atFault, FailureKind, uint32_t position, bool mayRepeat);
