--- a/src/adapters/HttpEndpoints.cpp
+++ b/src/adapters/HttpEndpoints.cpp
@@ -5,6 +5,8 @@
 #include "HttpExchange.h"
 #include "spindleadapters/internal/EndpointJson.h"
 
+#include <charconv>
+
 namespace jacinthspindle {
 
 namespace {
@@ -124,6 +126,20 @@
         return exchange(call);
     }
 
+    constexpr int minHttpStatus = 100;
+    constexpr int maxHttpStatus = 599;
+
+    // The status that the action's first answer had; a service that does not name it recorded a success.
+    int recordedStatus(const HttpAnswer& answer)
+    {
+        auto text = answer.header("X-Action-Status");
+        int status = 0;
+        auto [rest, ec] = std::from_chars(text.data(), text.data() + text.size(), status);
+        bool isStatus = ec == std::errc() && rest == text.data() + text.size() && status >= minHttpStatus
+            && status <= maxHttpStatus;
+        return isStatus ? status : answer.status;
+    }
+
     HttpCall serviceExchange(const ServiceCall& call, milliseconds timeout)
     {
         HttpCall result;
@@ -220,14 +236,14 @@
 {
     auto http = serviceExchange(call, timeout);
     http.method = "GET";
-    http.path = "/actions/" + call.idempotencyKey;
+    http.path = "/actions/" + internal::encodePathSegment(call.idempotencyKey);
     auto answer = exchange(http);
     if (answer.isWhole(404))
         return { LookupOutcome::NotFound, {} };
     if (!answer.isWhole(200))
         return {};
     return { LookupOutcome::Found,
-        { ServiceOutcome::Answered, answer.status, answer.header("Content-Type"), std::move(answer.body) } };
+        { ServiceOutcome::Answered, recordedStatus(answer), answer.header("Content-Type"), std::move(answer.body) } };
 }
 
 } // namespace jacinthspindle
--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <charconv>
 #include <condition_variable>
+#include <csignal>
 #include <deque>
 #include <httplib.h>
 #include <map>
@@ -271,6 +272,16 @@
         Watchdog::Watch m_watch;
     };
 
+    // Writing to a connection that the server has closed raises SIGPIPE, which ends a process that does not handle it.
+    void ignorePipeSignal()
+    {
+        struct sigaction current { };
+        if (sigaction(SIGPIPE, nullptr, &current) != 0 || current.sa_handler != SIG_DFL)
+            return;
+        current.sa_handler = SIG_IGN;
+        sigaction(SIGPIPE, &current, nullptr);
+    }
+
     bool wasNotSent(httplib::Error error)
     {
         return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
@@ -400,6 +411,7 @@
         answer.error = !target ? "the address is not IP:port" : "the request cannot be sent";
         return answer;
     }
+    [[maybe_unused]] static const bool isPipeSignalIgnored = (ignorePipeSignal(), true);
     auto connection = connectionPool().take(call.address, *target);
     exchangeOn(*connection, call, reader, answer);
     if (answer.delivery == Delivery::Whole)
@@ -415,4 +427,10 @@
     return httplib::append_query_params(path, params);
 }
 
+std::string encodePathSegment(const std::string& text)
+{
+    auto query = withQuery({}, { { "x", text } });
+    return query.substr(query.find('=') + 1);
+}
+
 } // namespace jacinthspindle::internal
--- a/src/adapters/HttpExchange.h
+++ b/src/adapters/HttpExchange.h
@@ -54,4 +54,7 @@
 // Returns path with the parameters appended in encoded form.
 std::string withQuery(const std::string& path, const std::vector<std::pair<std::string, std::string>>& parameters);
 
+// Returns the text in encoded form; a '/' is encoded as well.
+std::string encodePathSegment(const std::string& text);
+
 } // namespace jacinthspindle::internal
--- a/src/adapters/HttpPlatform.cpp
+++ b/src/adapters/HttpPlatform.cpp
@@ -159,7 +159,7 @@
     HttpCall call;
     call.address = m_address;
     call.method = "PUT";
-    call.path = "/objects/" + name;
+    call.path = "/objects/" + internal::encodePathSegment(name);
     call.contentType = bytesType;
     call.body = bytes;
     call.timeout = timeout;
@@ -168,7 +168,7 @@
 
 std::optional<std::string> HttpObjectStore::get(const std::string& name, milliseconds timeout)
 {
-    auto answer = jacinthspindle::get(m_address, "/objects/" + name, timeout);
+    auto answer = jacinthspindle::get(m_address, "/objects/" + internal::encodePathSegment(name), timeout);
     if (!answer.isWhole(200))
         return std::nullopt;
     return std::move(answer.body);
