--- a/include/spindleadapters/spindleadapters.h
+++ b/include/spindleadapters/spindleadapters.h
@@ -13,7 +13,4 @@
 #include "spindleadapters/TableCsv.h" // IWYU pragma: export
 #include "spindleadapters/TableStore.h" // IWYU pragma: export
 #include "spindleadapters/Timeline.h" // IWYU pragma: export
-#include "spindleadapters/NngPeerTransport.h" // IWYU pragma: export
-#include "spindleadapters/PeerCodec.h" // IWYU pragma: export
-#include "spindleadapters/PeerTraceCodec.h" // IWYU pragma: export
 #include "spindleadapters/TraceCodec.h" // IWYU pragma: export
--- a/src/adapters/Replayer.cpp
+++ b/src/adapters/Replayer.cpp
@@ -1,15 +1,15 @@
-// Replay of the decision core.
+// Replay of the decision core and of the action machines.
 
 #include "spindleadapters/Replayer.h"
 
+#include "spindleadapters/ActionCodec.h"
 #include "spindleadapters/Timeline.h"
 #include "spindleadapters/TraceCodec.h"
 
-#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
-#include <tuple>
+#include <sstream>
 #include <utility>
 
 namespace jacinthspindle {
@@ -20,17 +20,99 @@
 
     std::string describePayload(TraceKind kind, const std::string& payload)
     {
+        if (payload.empty())
+            return {};
         TraceRecord record;
         record.kind = kind;
         record.payload = payload;
         return describeRecord(record);
     }
 
+    // A machine together with the encoded outputs that the trace has yet to confirm. What is left at the end of the
+    // records is no divergence, because the end of a trace may lie between an input and its outputs.
+    template <typename Machine> struct Instance {
+        std::unique_ptr<Machine> machine;
+        std::deque<std::string> pending;
+
+        std::string takePending()
+        {
+            if (pending.empty())
+                return {};
+            auto payload = std::move(pending.front());
+            pending.pop_front();
+            return payload;
+        }
+    };
+
+    // Collects how each request ended. A request that several daemons served ends with the best of their outcomes: a
+    // stream that was cut at one daemon is complete if another one completed it.
+    class OutcomeCollector {
+    public:
+        void add(const CoreInput& input)
+        {
+            if (const auto* finished = std::get_if<RequestFinished>(&input))
+                improve(finished->request, OutcomeKind::Complete, ResultCode::Ok, finished->tokens);
+            else if (const auto* gone = std::get_if<CallerGone>(&input))
+                improve(gone->request, OutcomeKind::CallerGone, ResultCode::CallerGone, 0);
+            else if (const auto* arrived = std::get_if<RequestArrived>(&input))
+                improve(arrived->request, OutcomeKind::Open, ResultCode::Ok, 0);
+        }
+
+        void add(const CoreDecision& decision)
+        {
+            if (const auto* dispatch = std::get_if<Dispatch>(&decision))
+                ++m_outcomes[dispatch->request].dispatches;
+            else if (const auto* refuse = std::get_if<Refuse>(&decision))
+                improve(refuse->request, OutcomeKind::Refused, refuse->code, 0);
+            else if (const auto* abandon = std::get_if<Abandon>(&decision))
+                improve(abandon->request, OutcomeKind::Abandoned, abandon->code, 0);
+        }
+
+        void add(const RequestId& request, const ActionOutput& output)
+        {
+            const auto* answer = std::get_if<AnswerCaller>(&output);
+            if (!answer)
+                return;
+            switch (answer->execution) {
+            case Execution::NotRun:
+                return improve(request, OutcomeKind::ActionNotRun, answer->code, 0);
+            case Execution::Unknown:
+                return improve(request, OutcomeKind::ActionUnknown, answer->code, 0);
+            case Execution::Ran:
+                return improve(request, OutcomeKind::ActionRan, answer->code, 0);
+            }
+        }
+
+        std::vector<RequestOutcome> take()
+        {
+            std::vector<RequestOutcome> outcomes;
+            for (auto& [request, outcome] : m_outcomes) {
+                outcome.request = request;
+                outcomes.push_back(std::move(outcome));
+            }
+            return outcomes;
+        }
+
+    private:
+        void improve(const RequestId& request, OutcomeKind kind, ResultCode code, uint32_t tokens)
+        {
+            auto& outcome = m_outcomes[request];
+            if (kind < outcome.kind)
+                return;
+            outcome.kind = kind;
+            outcome.code = code;
+            outcome.tokens = tokens;
+        }
+
+        std::map<RequestId, RequestOutcome> m_outcomes;
+    };
+
     // Replays the records of one process, in the order of their sequence numbers.
     class ProcessReplay {
     public:
-        explicit ProcessReplay(ReplayReport& report)
+        ProcessReplay(ReplayReport& report, OutcomeCollector& outcomes)
             : m_report(report)
+            , m_outcomes(outcomes)
         {
         }
 
@@ -42,11 +124,15 @@
             m_last = &record;
             switch (record.kind) {
             case TraceKind::CoreConfig:
-                return start(record);
+                return startCore(record);
             case TraceKind::CoreInput:
-                return applyInput(record);
+                return applyCoreInput(record);
             case TraceKind::CoreDecision:
-                return compareDecision(record);
+                return compareOutput(record, m_core);
+            case TraceKind::ActionInput:
+                return applyActionInput(record);
+            case TraceKind::ActionOutput:
+                return compareOutput(record, m_actions[record.request]);
             case TraceKind::Gap:
                 return stopAtGap();
             default:
@@ -68,56 +154,72 @@
             return false;
         }
 
-        bool start(const TraceRecord& record)
+        bool startCore(const TraceRecord& record)
         {
             Reason reason;
             auto config = decodeConfig(record.payload, reason);
             if (!config)
                 return diverge(record, "settings", reason.text);
-            m_core = std::make_unique<DecisionCore>(*config);
+            m_core.machine = std::make_unique<DecisionCore>(*config);
             return true;
         }
 
-        bool applyInput(const TraceRecord& record)
+        bool applyCoreInput(const TraceRecord& record)
         {
-            if (!m_pending.empty())
-                return diverge(record, "", describePayload(TraceKind::CoreDecision, m_pending.front()));
-            if (!m_core)
+            if (!m_core.machine)
                 return stopAtGap();
+            if (!m_core.pending.empty())
+                return diverge(record, "", describePayload(TraceKind::CoreDecision, m_core.pending.front()));
             Reason reason;
             auto input = decodeInput(record.payload, reason);
             if (!input)
                 return diverge(record, "input", reason.text);
             std::vector<CoreDecision> decisions;
-            m_core->apply(record.at, *input, decisions);
-            for (const auto& it : decisions)
-                m_pending.push_back(encodeDecision(it));
+            m_core.machine->apply(record.at, *input, decisions);
+            m_outcomes.add(*input);
+            for (const auto& it : decisions) {
+                m_core.pending.push_back(encodeDecision(it));
+                m_outcomes.add(it);
+            }
             ++m_report.inputs;
             return true;
         }
 
-        bool compareDecision(const TraceRecord& record)
+        bool applyActionInput(const TraceRecord& record)
         {
-            if (!m_core)
+            Reason reason;
+            auto input = decodeActionInput(record.payload, reason);
+            if (!input)
+                return diverge(record, "action input", reason.text);
+            auto& action = m_actions[record.request];
+            if (!action.pending.empty())
+                return diverge(record, "", describePayload(TraceKind::ActionOutput, action.pending.front()));
+            if (std::holds_alternative<ActionStarted>(*input))
+                action.machine = std::make_unique<ActionMachine>();
+            if (!action.machine)
                 return stopAtGap();
-            std::string actual;
-            if (!m_pending.empty()) {
-                actual = std::move(m_pending.front());
-                m_pending.pop_front();
-            }
-            if (actual != record.payload) {
-                return diverge(record, describeRecord(record),
-                    actual.empty() ? std::string() : describePayload(TraceKind::CoreDecision, actual));
-            }
+            auto output = action.machine->apply(record.at, *input);
+            action.pending.push_back(encodeActionOutput(output));
+            m_outcomes.add(record.request, output);
+            ++m_report.inputs;
+            return true;
+        }
+
+        template <typename Machine> bool compareOutput(const TraceRecord& record, Instance<Machine>& instance)
+        {
+            if (!instance.machine)
+                return stopAtGap();
+            auto actual = instance.takePending();
+            if (actual != record.payload)
+                return diverge(record, describeRecord(record), describePayload(record.kind, actual));
             ++m_report.decisions;
             return true;
         }
 
         ReplayReport& m_report;
-        std::unique_ptr<DecisionCore> m_core;
-        // Encoded decisions of the last input that the trace has yet to confirm. What is left at the end of the records
-        // is no divergence, because the end of a trace may lie between an input and its decisions.
-        std::deque<std::string> m_pending;
+        OutcomeCollector& m_outcomes;
+        Instance<DecisionCore> m_core;
+        std::map<RequestId, Instance<ActionMachine>> m_actions;
         const TraceRecord* m_last = nullptr;
     };
 
@@ -129,9 +231,10 @@
     for (const auto& it : records)
         processes[{ it.host, it.incarnation }].emplace(it.sequence, &it);
     ReplayReport report;
+    OutcomeCollector outcomes;
     for (const auto& [key, ordered] : processes) {
         ++report.processes;
-        ProcessReplay replay(report);
+        ProcessReplay replay(report, outcomes);
         for (const auto& [sequence, record] : ordered) {
             if (!replay.apply(*record))
                 break;
@@ -139,7 +242,60 @@
         if (report.divergence)
             break;
     }
+    report.outcomes = outcomes.take();
     return report;
 }
 
+const char* outcomeName(OutcomeKind kind)
+{
+    switch (kind) {
+    case OutcomeKind::Open:
+        return "open";
+    case OutcomeKind::CallerGone:
+        return "caller-gone";
+    case OutcomeKind::Refused:
+        return "refused";
+    case OutcomeKind::Abandoned:
+        return "abandoned";
+    case OutcomeKind::ActionNotRun:
+        return "action-not-run";
+    case OutcomeKind::ActionUnknown:
+        return "action-unknown";
+    case OutcomeKind::ActionRan:
+        return "action-ran";
+    case OutcomeKind::Complete:
+        break;
+    }
+    return "complete";
+}
+
+std::string RequestOutcome::toString() const
+{
+    return request.value() + " " + outcomeName(kind) + " " + resultName(code) + " " + std::to_string(tokens);
+}
+
+std::vector<std::string> compareOutcomes(const ReplayReport& report, const std::string& stated)
+{
+    std::map<std::string, std::string> actual;
+    for (const auto& it : report.outcomes)
+        actual[it.request.value()] = it.toString();
+    std::vector<std::string> differences;
+    std::istringstream lines(stated);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.empty() || line.front() == '#')
+            continue;
+        auto it = actual.find(line.substr(0, line.find(' ')));
+        if (it == actual.end()) {
+            differences.push_back("stated '" + line + "', the trace has no such request");
+            continue;
+        }
+        if (it->second != line)
+            differences.push_back("stated '" + line + "', replayed '" + it->second + "'");
+        actual.erase(it);
+    }
+    for (const auto& [request, line] : actual)
+        differences.push_back("not stated, replayed '" + line + "'");
+    return differences;
+}
+
 } // namespace jacinthspindle
