--- a/include/spindlecore/PeerMessage.h
+++ b/include/spindlecore/PeerMessage.h
@@ -158,10 +158,10 @@
 struct ActionQuery {
     std::string row; // "action/<workspace>/<key>"
     std::string attempt; // The attempt that the row names.
-    uint64_t epoch = 0;
+    uint64_t version = 0; // Of the row, as the asker saw it.
     uint64_t incarnation = 0; // Of the owner, as the row names it.
     bool operator==(const ActionQuery&) const = default;
-    JACINTHSPINDLE_FIELDS(self.row, self.attempt, self.epoch, self.incarnation)
+    JACINTHSPINDLE_FIELDS(self.row, self.attempt, self.version, self.incarnation)
 };
 
 enum class PeerActionState : uint8_t { Unknown = 0, InProgress = 1, Abandoned = 2 };
@@ -169,10 +169,10 @@
 struct ActionVerdict {
     std::string row;
     std::string attempt;
-    uint64_t epoch = 0;
+    uint64_t version = 0; // Of the query.
     PeerActionState state = PeerActionState::Unknown;
     bool operator==(const ActionVerdict&) const = default;
-    JACINTHSPINDLE_FIELDS(self.row, self.attempt, self.epoch, self.state)
+    JACINTHSPINDLE_FIELDS(self.row, self.attempt, self.version, self.state)
 };
 
 // The order of the alternatives is part of the format; new ones are added at the end.
--- a/include/spindlecore/spindlecore.h
+++ b/include/spindlecore/spindlecore.h
@@ -9,6 +9,7 @@
 #include "spindlecore/OrderMachine.h" // IWYU pragma: export
 #include "spindlecore/LimitShares.h" // IWYU pragma: export
 #include "spindlecore/Membership.h" // IWYU pragma: export
+#include "spindlecore/OrderMachine.h" // IWYU pragma: export
 #include "spindlecore/PeerMessage.h" // IWYU pragma: export
 #include "spindlecore/Ports.h" // IWYU pragma: export
 #include "spindlecore/ResultCode.h" // IWYU pragma: export
