Count requests in progress and answer traffic routes

Cause: the handle of a request in progress was empty, so every traffic route answered 200 without a body. Change: the handle points at the counter; keep-alive headers state the bounds in use.

--- a/src/daemon/Lifecycle.cpp
+++ b/src/daemon/Lifecycle.cpp
@@ -47,7 +47,7 @@
 {
     auto count = m_inProgress;
     ++*count;
-    return { nullptr, [count](void*) { --*count; } };
+    return { static_cast<void*>(count.get()), [count](void*) { --*count; } };
 }
 
 } // namespace jacinthspindle::daemon
--- a/src/daemon/TrafficServer.cpp
+++ b/src/daemon/TrafficServer.cpp
@@ -27,7 +27,8 @@
     : m_limits(limits)
 {
     set_payload_max_length(limits.bodyBytes);
-    set_tcp_nodelay(true);
+    set_keep_alive_max_count(limits.requestsPerConnection);
+    set_keep_alive_timeout(std::chrono::ceil<std::chrono::seconds>(limits.keepAlive).count());
     new_task_queue = [limits] { return new BoundedTaskQueue(limits.threads, limits.connectionQueue); };
 }
 
--- a/test/adapters/PeerCodecTest.cpp
+++ b/test/adapters/PeerCodecTest.cpp
@@ -28,7 +28,7 @@
         LimitReport { LimitLevel::DataCentre, 1, 2, true, false, { { WorkspaceId("school"), 5, 6, 1 } } },
         LimitGrant { LimitLevel::Daemon, 1, 2, 2000ms, { { WorkspaceId("school"), 7 } } },
         ActionQuery { "action/school/k", "attempt-1", 2, 3 },
-        ActionVerdict { "action/school/k", "attempt-1", 2, ActionState::Abandoned } };
+        ActionVerdict { "action/school/k", "attempt-1", 2, PeerActionState::Abandoned } };
 }
 
 PeerMessage message(uint64_t sequence, PeerBody body = TableRequest { 1, 0, 0 }, uint64_t incarnation = 5)
