Keep the identity of an answer over resumption and record actions at the instants that their machine saw

Cause: a resumed stream had a new answer id and repeated the role; records of actions carried a later time than the machine was given, so a replay would differ. Change: the cursor's request names the answer, the cursor carries the Lamport time, and action records are made with recordAt().

--- a/src/daemon/ActionRun.cpp
+++ b/src/daemon/ActionRun.cpp
@@ -165,8 +165,7 @@
             record.tableRevision = m_admission.dispatch().tableRevision;
             record.kind = kind;
             record.payload = std::move(payload);
-            record.at = at;
-            m_context.trace.record(std::move(record));
+            m_context.trace.recordAt(std::move(record), at);
         }
 
         TrafficContext& m_context;
--- a/src/daemon/CompletionHandler.cpp
+++ b/src/daemon/CompletionHandler.cpp
@@ -65,7 +65,7 @@
     if (auto end = stream->open())
         return setProblem(response, problemOf(*end, stream->request()));
 
-    CompletionIdentity identity { form, stream->request(), body->route,
+    CompletionIdentity identity { form, stream->answerId(), body->route,
         std::chrono::floor<std::chrono::seconds>(m_context.clock.wallNow()).time_since_epoch().count() };
     if (body->isStream)
         answerStream(response, std::move(stream), identity, handle);
@@ -80,7 +80,7 @@
     response.set_chunked_content_provider(
         "text/event-stream", [this, stream, identity, handle](size_t, httplib::DataSink& sink) {
             auto send = [&sink](const std::string& text) { return sink.write(text.data(), text.size()); };
-            bool isFirst = true;
+            bool isFirst = !stream->isResumed();
             auto end = stream->run([&](const StreamToken& token) {
                 auto chunk = chunkJson(identity, token.text, isFirst, FinishReason::None);
                 isFirst = false;
--- a/src/daemon/ModelStream.cpp
+++ b/src/daemon/ModelStream.cpp
@@ -82,6 +82,7 @@
     m_seed = m_cursor->seed;
     m_lastCursor = m_query.lastEventId;
     m_prefix.emplace(*m_cursor);
+    m_context.trace.observe(m_cursor->logicalTime);
     m_context.metrics.add(Counter::StreamsResumed);
     return std::nullopt;
 }
@@ -245,7 +246,8 @@
         m_context.metrics.observe(Distribution::TokenGap, receivedAt - m_lastTokenAt);
     m_hasSentToken = true;
     m_lastTokenAt = receivedAt;
-    StreamCursor cursor { m_request, event.position + 1, textDigest(), m_seed, m_version, 0 };
+    StreamCursor cursor { answerId(), event.position + 1, textDigest(), m_seed, m_version,
+        m_context.trace.logicalTime() };
     m_lastCursor = m_context.cursors.format(cursor, m_binding);
     bool isTaken = consumer({ event.text, m_lastCursor, event.isLast });
     m_context.metrics.observe(Distribution::TokenOverhead, m_context.clock.now() - receivedAt);
--- a/src/daemon/ModelStream.h
+++ b/src/daemon/ModelStream.h
@@ -45,6 +45,9 @@
     RequestEnd run(const Consumer&);
 
     const RequestId& request() const { return m_request; }
+    // Names the answer towards the caller; the same in all parts of a resumed stream.
+    const RequestId& answerId() const { return m_cursor ? m_cursor->request : m_request; }
+    bool isResumed() const { return m_cursor.has_value(); }
     uint32_t promptTokens() const { return m_promptTokens; }
     uint32_t tokens() const { return m_validator ? m_validator->nextPosition() : 0; }
     uint32_t maxTokens() const { return m_maxTokens; }
--- a/src/daemon/TrafficPath.h
+++ b/src/daemon/TrafficPath.h
@@ -6,10 +6,10 @@
 #include "daemon/EngineSignals.h"
 #include "daemon/Identities.h"
 #include "daemon/Metrics.h"
+#include "daemon/TraceRecorder.h"
 #include "spindlecore/Clock.h"
 #include "spindlecore/Ports.h"
 #include "spindlecore/StreamCursor.h"
-#include "spindlecore/Trace.h"
 
 #include <atomic>
 #include <memory>
@@ -26,7 +26,7 @@
     EngineSignals& signals;
     Identities& identities;
     Metrics& metrics;
-    TraceSink& trace;
+    TraceRecorder& trace;
     const CursorCodec& cursors;
 };
 
