Record tables by reference in the daemon, so that a run of three daemons replays

Cause: a replay of three live daemons diverged at the first adopted table, because the daemon recorded the whole table where the replay expects its reference.

--- a/src/daemon/PeerControl.cpp
+++ b/src/daemon/PeerControl.cpp
@@ -200,7 +200,7 @@
     std::vector<ReplicaOutput> outputs;
     m_replica.apply(now, input, outputs);
     for (const auto& it : outputs) {
-        record(TraceKind::ReplicaOutput, encodeReplicaOutput(it), now);
+        record(TraceKind::ReplicaOutput, encodeReplicaOutput(withTableReference(it)), now);
         if (const auto* send = std::get_if<SendToPeer>(&it))
             m_send(*send);
         else if (const auto* head = std::get_if<FetchHead>(&it))
@@ -219,7 +219,7 @@
 
 void PeerControl::applyShares(Instant now, const LimitInput& input, std::vector<CoreInput>& inputs)
 {
-    record(TraceKind::LimitInput, encodeLimitInput(input), now);
+    record(TraceKind::LimitInput, encodeLimitInput(withTableReference(input)), now);
     std::vector<LimitOutput> outputs;
     m_shares.apply(now, input, outputs);
     for (const auto& it : outputs) {
