--- a/include/spindlecore/internal/DispatchGate.h
+++ b/include/spindlecore/internal/DispatchGate.h
@@ -19,8 +19,8 @@
     }
 
     // Own attempts that may start now. A fraction is the probability of one more.
-    double allowance(Instant now, const EndpointBook&, const Pool&) const;
-    bool mayDispatch(Instant now, const EndpointBook&, const Pool&) const;
+    double allowance(Instant now, const EndpointBook&, const Pool&);
+    bool mayDispatch(Instant now, const EndpointBook&, const Pool&);
 
     // An attempt was started, or long enough passed to draw again.
     void redraw(std::mt19937_64& random);
@@ -31,6 +31,17 @@
     static double slots(const EndpointBook&, const Pool&);
 
 private:
+    // Sums over the endpoints that hold the layers between two boundaries.
+    struct Segment {
+        double free = 0;
+        double freed = 0; // Slots that own attempts left since the last report; the peers do not see them yet.
+        double grown = 0; // Own attempts that were added since then.
+        double slots = 0;
+        bool hasReports = false;
+        void add(const Segment&);
+    };
+
+    std::vector<Segment> m_segments; // Reused between calls.
     double m_peersAtStart;
     double m_peers;
     double m_reported = 0; // Smoothed attempts of all daemons and of this one.
--- a/src/core/Admission.cpp
+++ b/src/core/Admission.cpp
@@ -205,10 +205,10 @@
 // Starts waiting requests while there are slots for them.
 void CoreState::pump(Instant now, PoolState& pool, Decisions& decisions)
 {
-    bool goesOn = pool.queue.size() > 0;
-    if (goesOn)
+    if (pool.queue.size())
         refresh(pool);
-    while (goesOn) {
+    bool goesOn = true;
+    while (goesOn && pool.queue.size()) {
         goesOn = false;
         if (m_config.sharesCapacity && !pool.gate.mayDispatch(now, m_book, pool.pool))
             return;
--- a/src/core/DispatchGate.cpp
+++ b/src/core/DispatchGate.cpp
@@ -23,43 +23,53 @@
 
 } // namespace
 
-double DispatchGate::allowance(Instant now, const EndpointBook& book, const Pool& pool) const
+void DispatchGate::Segment::add(const Segment& other)
+{
+    free += other.free;
+    freed += other.freed;
+    grown += other.grown;
+    slots += other.slots;
+    hasReports = hasReports || other.hasReports;
+}
+
+double DispatchGate::allowance(Instant now, const EndpointBook& book, const Pool& pool)
 {
-    double least = std::numeric_limits<double>::max();
     size_t segments = pool.boundaries.size() > 1 ? pool.boundaries.size() - 1 : 1;
-    for (uint32_t segment = 0; segment < segments; ++segment) {
-        double free = 0;
-        double freed = 0; // Slots that own attempts left since the last report; the peers do not see them yet.
-        double grown = 0;
-        double slots = 0;
-        bool hasReports = false;
-        for (const auto& group : pool.groups) {
-            if (pool.layers && (group.firstBoundary > segment || group.endBoundary <= segment))
+    m_segments.assign(segments, {});
+    for (const auto& group : pool.groups) {
+        Segment sum;
+        for (auto index : group.members) {
+            const auto& entry = book[index];
+            double room = std::max(0.0, book.room(now, entry));
+            sum.free += room;
+            sum.slots += entry.row.slots;
+            if (!book.hasFreshReport(now, entry))
                 continue;
-            for (auto index : group.members) {
-                const auto& entry = book[index];
-                double room = std::max(0.0, book.room(now, entry));
-                free += room;
-                slots += entry.row.slots;
-                if (!book.hasFreshReport(now, entry))
-                    continue;
-                hasReports = true;
-                double change = static_cast<double>(entry.own) - entry.ownAtReport;
-                freed += std::min(room, std::max(0.0, -change));
-                grown += std::max(0.0, change);
-            }
+            sum.hasReports = true;
+            double change = static_cast<double>(entry.own) - entry.ownAtReport;
+            sum.freed += std::min(room, std::max(0.0, -change));
+            sum.grown += std::max(0.0, change);
         }
+        size_t end = pool.layers ? group.endBoundary : 1;
+        for (size_t segment = group.firstBoundary; segment < end; ++segment)
+            m_segments[segment].add(sum);
+    }
+    double least = std::numeric_limits<double>::max();
+    for (const auto& it : m_segments) {
         // Without reports the limit of each endpoint is the only bound.
-        double shared = free - freed - (m_peers - 1) * peerGrowth * grown;
+        if (!it.hasReports) {
+            least = std::min(least, it.free);
+            continue;
+        }
+        double shared = it.free - it.freed - (m_peers - 1) * peerGrowth * it.grown;
         // Near saturation a free slot is likely to be taken by the daemon that left it before its report arrives.
-        double caution = std::clamp(cautionSlope * free / slots, leastTaken, 1.0);
-        double share = hasReports ? freed + caution * shared / m_peers : free;
-        least = std::min(least, share);
+        double caution = std::clamp(cautionSlope * it.free / it.slots, leastTaken, 1.0);
+        least = std::min(least, it.freed + caution * shared / m_peers);
     }
     return least;
 }
 
-bool DispatchGate::mayDispatch(Instant now, const EndpointBook& book, const Pool& pool) const
+bool DispatchGate::mayDispatch(Instant now, const EndpointBook& book, const Pool& pool)
 {
     return allowance(now, book, pool) > m_threshold;
 }
