Refuse at once when a stage has no serving endpoint; test admission and drain

Cause: EndpointDrainTest found that a request for a pool without any endpoint for some layers waited until its queue time was over. Change: the pool knows whether it covers all layers; arrivals and waiting requests are refused as having no chain. Conclusion: a lost stage is answered at once.

--- a/include/spindlecore/internal/ChainPlanner.h
+++ b/include/spindlecore/internal/ChainPlanner.h
@@ -25,6 +25,7 @@
     uint32_t layers = 0;
     std::vector<uint32_t> boundaries; // Ascending from 0 to layers; a service has only 0.
     std::vector<StageGroup> groups;
+    bool isCovered = false; // Every layer is held by some member.
 };
 
 struct SubsetSettings {
--- a/include/spindlecore/internal/CoreState.h
+++ b/include/spindlecore/internal/CoreState.h
@@ -114,6 +114,7 @@
     enum class Taken : uint8_t { Yes, Skip, Stop };
     Taken tryFirst(Instant, PoolState&, FairQueue::Flow&, size_t lane, Decisions&);
     bool mayStartLong(const PoolState&) const;
+    void refuseAll(Instant, PoolState&, Decisions&);
     void refuseLate(Instant, PoolState&, Decisions&);
 
     // CoreState.cpp
--- a/src/core/Admission.cpp
+++ b/src/core/Admission.cpp
@@ -166,7 +166,7 @@
     estimate(request);
     auto& pool = *request.pool;
     refresh(pool);
-    if (pool.pool.groups.empty())
+    if (!pool.pool.isCovered)
         return refuse(now, input.request, ResultCode::NoChain, {}, decisions);
     if (auto wait = limitWait(now, request))
         return refuse(now, input.request, ResultCode::LimitExceeded, *wait, decisions);
@@ -207,6 +207,8 @@
 {
     if (pool.queue.size())
         refresh(pool);
+    if (!pool.pool.isCovered)
+        return refuseAll(now, pool, decisions);
     bool goesOn = true;
     while (goesOn && pool.queue.size()) {
         goesOn = false;
@@ -228,6 +230,20 @@
     }
 }
 
+// Refuses all waiting requests of a pool that lost its last endpoint for some layer.
+void CoreState::refuseAll(Instant now, PoolState& pool, Decisions& decisions)
+{
+    std::vector<RequestId> waiting;
+    for (const auto& it : pool.queue.flows()) {
+        for (const auto& lane : it.second.lanes) {
+            for (const auto& queued : lane)
+                waiting.push_back(queued.request);
+        }
+    }
+    for (const auto& id : waiting)
+        refuseQueued(now, id, ResultCode::NoChain, std::chrono::seconds(1), decisions);
+}
+
 CoreState::Taken CoreState::tryFirst(
     Instant now, PoolState& pool, FairQueue::Flow& flow, size_t lane, Decisions& decisions)
 {
--- a/src/core/Pool.cpp
+++ b/src/core/Pool.cpp
@@ -48,6 +48,17 @@
             members.resize(count);
     }
 
+    bool coversAll(const Pool& pool)
+    {
+        uint32_t reached = 0;
+        // Groups are in ascending order of their first layer.
+        for (const auto& it : pool.groups) {
+            if (it.layers.first <= reached)
+                reached = std::max(reached, it.layers.end);
+        }
+        return !pool.groups.empty() && reached >= pool.layers;
+    }
+
 } // namespace
 
 Pool buildPool(const EndpointBook& book, const RouteRow& route, const SubsetSettings& settings)
@@ -86,6 +97,7 @@
         group.members.insert(group.members.end(), members.remote.begin(), members.remote.end());
         pool.groups.push_back(std::move(group));
     }
+    pool.isCovered = coversAll(pool);
     return pool;
 }
 
--- /dev/null
+++ b/test/core/EndpointDrainTest.cpp
@@ -0,0 +1,152 @@
+// Tests of the life of endpoints: a leaving endpoint must not receive new work from the first input on that says so.
+
+#include "support/CoreDriver.h"
+
+#include <doctest/doctest.h>
+
+using namespace jacinthspindle;
+using test::CoreDriver;
+using test::firstOf;
+
+namespace {
+
+const EndpointId leaving("middle-a");
+
+// Sends requests until the pool is full and returns how often the endpoint was chosen.
+int timesChosen(CoreDriver& driver, const std::string& prefix, const EndpointId& endpoint)
+{
+    int n = 0;
+    for (int i = 0; i < 12; ++i) {
+        auto id = prefix + std::to_string(i);
+        auto decisions = driver.arrive(id);
+        if (const auto* dispatch = firstOf<Dispatch>(decisions)) {
+            n += test::uses(*dispatch, endpoint);
+            driver.finish(id);
+        }
+    }
+    return n;
+}
+
+} // namespace
+
+TEST_CASE("a serving endpoint is chosen; otherwise the drain tests would prove nothing")
+{
+    CoreDriver driver;
+    driver.adopt(test::sampleTable());
+    CHECK(timesChosen(driver, "r", leaving) > 0);
+}
+
+TEST_CASE("each source alone stops new work to a leaving or failed endpoint, and the same source allows it again")
+{
+    for (auto source : { EndpointStateSource::HostList, EndpointStateSource::Health, EndpointStateSource::Engine }) {
+        for (auto life : { EndpointLife::Leaving, EndpointLife::Down }) {
+            CAPTURE(static_cast<int>(source));
+            CAPTURE(static_cast<int>(life));
+            CoreDriver driver;
+            driver.adopt(test::sampleTable());
+            driver.send(EndpointStateSeen { leaving, source, life });
+            CHECK(timesChosen(driver, "after", leaving) == 0);
+            auto other
+                = source == EndpointStateSource::Health ? EndpointStateSource::Engine : EndpointStateSource::Health;
+            driver.send(EndpointStateSeen { leaving, other, EndpointLife::Serving });
+            CHECK(timesChosen(driver, "other", leaving) == 0);
+            driver.send(EndpointStateSeen { leaving, source, EndpointLife::Serving });
+            CHECK(timesChosen(driver, "again", leaving) > 0);
+        }
+    }
+}
+
+TEST_CASE("a draining row and a removed row stop new work from the adoption of the table on")
+{
+    auto table = test::sampleTable();
+    CoreDriver driver;
+    driver.adopt(table);
+    auto draining = table;
+    for (auto& it : draining.endpoints) {
+        if (it.endpoint == leaving)
+            it.state = AdminState::Draining;
+    }
+    driver.adopt(draining);
+    CHECK(timesChosen(driver, "draining", leaving) == 0);
+    driver.adopt(table);
+    CHECK(timesChosen(driver, "active", leaving) > 0);
+    auto removed = table;
+    std::erase_if(removed.endpoints, [](const EndpointRow& row) { return row.endpoint == leaving; });
+    driver.adopt(removed);
+    CHECK(timesChosen(driver, "removed", leaving) == 0);
+}
+
+TEST_CASE("a leaving endpoint that the table names later receives no work")
+{
+    auto table = test::sampleTable();
+    auto without = table;
+    std::erase_if(without.endpoints, [](const EndpointRow& row) { return row.endpoint == leaving; });
+    CoreDriver driver;
+    driver.adopt(without);
+    driver.send(EndpointStateSeen { leaving, EndpointStateSource::HostList, EndpointLife::Leaving });
+    driver.adopt(table);
+    CHECK(timesChosen(driver, "r", leaving) == 0);
+    // The state must also outlast a removal of the row.
+    driver.adopt(without);
+    driver.adopt(table);
+    CHECK(timesChosen(driver, "s", leaving) == 0);
+}
+
+TEST_CASE("work in progress goes on at a leaving endpoint and its replacement goes elsewhere")
+{
+    CoreDriver driver;
+    driver.adopt(test::sampleTable());
+    auto decisions = driver.arrive("r1");
+    const auto* first = firstOf<Dispatch>(decisions);
+    REQUIRE(first);
+    auto endpoint = first->chain[1].endpoint;
+    CHECK(driver.send(EndpointStateSeen { endpoint, EndpointStateSource::Engine, EndpointLife::Leaving }).empty());
+    CHECK(driver.status().running == 1);
+    auto replaced = driver.fail("r1", 1, EndpointId(), 5);
+    const auto* second = firstOf<Dispatch>(replaced);
+    REQUIRE(second);
+    CHECK_FALSE(test::uses(*second, endpoint));
+}
+
+TEST_CASE("without any serving endpoint for a stage the request is refused as having no chain")
+{
+    CoreDriver driver;
+    driver.adopt(test::sampleTable());
+    for (const char* name : { "middle-a", "middle-b" })
+        driver.send(EndpointStateSeen { EndpointId(name), EndpointStateSource::Health, EndpointLife::Down });
+    auto decisions = driver.arrive("r1");
+    const auto* refuse = firstOf<Refuse>(decisions);
+    REQUIRE(refuse);
+    CHECK(refuse->code == ResultCode::NoChain);
+}
+
+TEST_CASE("requests that wait are refused when the last endpoint of a stage is lost")
+{
+    CoreDriver driver;
+    driver.adopt(test::sampleTable());
+    int waiting = 0;
+    for (int i = 0; i < 30 && !waiting; ++i) {
+        driver.arrive("r" + std::to_string(i));
+        waiting = static_cast<int>(driver.status().waiting);
+    }
+    REQUIRE(waiting == 1);
+    driver.send(EndpointStateSeen { EndpointId("middle-a"), EndpointStateSource::Health, EndpointLife::Down });
+    auto decisions
+        = driver.send(EndpointStateSeen { EndpointId("middle-b"), EndpointStateSource::Health, EndpointLife::Down });
+    REQUIRE(firstOf<Refuse>(decisions));
+    CHECK(firstOf<Refuse>(decisions)->code == ResultCode::NoChain);
+    CHECK(driver.status().waiting == 0);
+}
+
+TEST_CASE("a drain of the daemon refuses new work only once the balancer's lag has passed")
+{
+    CoreDriver driver;
+    driver.adopt(test::sampleTable());
+    driver.send(DrainStarted { false });
+    CHECK(firstOf<Dispatch>(driver.arrive("r1")));
+    driver.send(DrainStarted { true });
+    auto decisions = driver.arrive("r2");
+    REQUIRE(firstOf<Refuse>(decisions));
+    CHECK(firstOf<Refuse>(decisions)->code == ResultCode::ShuttingDown);
+    CHECK(driver.status().running == 1);
+}
