--- /dev/null
+++ b/test/core/ChainPlannerTest.cpp
@@ -0,0 +1,305 @@
+// Tests of the choice of chains: layers covered once, one version and adapter, cost, subsets and cached prefixes.
+
+#include "support/CoreDriver.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <set>
+#include <spindlecore/internal/ChainPlanner.h>
+
+using namespace jacinthspindle;
+using namespace std::chrono_literals;
+using internal::ChainPlanner;
+using internal::EndpointBook;
+using internal::EndpointIndex;
+using internal::Pool;
+
+namespace {
+
+const Instant start { 1h };
+
+// Everything that a planner needs, over a table of one model route.
+struct Fixture {
+    explicit Fixture(const Table& source, uint32_t choices = 0)
+        : table(source)
+        , planner(book, model, prefixes, choices)
+    {
+        book.adopt(table);
+        pool = buildPool(book, table.routes.front(), { DataCentreId("north"), 1, 16, 4 });
+    }
+
+    internal::Plan plan(const internal::PlanRequest& request) { return planner.plan(start, pool, request, random); }
+    internal::Plan plan(double promptTokens = 100, double tokens = 100)
+    {
+        internal::PlanRequest request;
+        request.promptTokens = promptTokens;
+        request.tokens = tokens;
+        return plan(request);
+    }
+
+    Table table;
+    EndpointBook book;
+    internal::ServiceModel model;
+    internal::PrefixIndex prefixes;
+    ChainPlanner planner;
+    Pool pool;
+    std::mt19937_64 random { 7 };
+};
+
+Table tableOf(const std::vector<EndpointRow>& endpoints, uint32_t layers = 12)
+{
+    Table table;
+    RouteRow route;
+    route.route = RouteId("assistant");
+    route.target = "assistant-llm";
+    route.version = "v1";
+    route.layers = layers;
+    table.routes = { route };
+    table.workspaces = { { WorkspaceId("school"), 1, 0, 0, 0 } };
+    table.endpoints = endpoints;
+    table.normalize();
+    return table;
+}
+
+bool names(const Chain& chain, const std::string& endpoint)
+{
+    return std::any_of(
+        chain.begin(), chain.end(), [&](const StageHop& hop) { return hop.endpoint == EndpointId(endpoint); });
+}
+
+} // namespace
+
+TEST_CASE("random overlapping ranges are covered exactly once whenever they can be covered")
+{
+    std::mt19937_64 random(3);
+    int covered = 0;
+    for (int round = 0; round < 300; ++round) {
+        CAPTURE(round);
+        std::vector<EndpointRow> rows;
+        for (uint32_t i = 0; i < 3 + random() % 8; ++i) {
+            auto first = static_cast<uint32_t>(random() % 12);
+            auto end = first + 1 + static_cast<uint32_t>(random() % (12 - first));
+            rows.push_back(test::engineRow("e" + std::to_string(i), { first, end }));
+        }
+        auto table = tableOf(rows);
+        // Coverage is counted here layer by layer, independently of the planner.
+        bool canCover = true;
+        for (uint32_t layer = 0; layer < 12; ++layer) {
+            canCover = canCover
+                && std::any_of(rows.begin(), rows.end(), [&](const auto& row) { return row.layers.contains(layer); });
+        }
+        Fixture fixture(table, round % 2 ? 3 : 0);
+        auto plan = fixture.plan();
+        CHECK(fixture.pool.isCovered == canCover);
+        CHECK(plan.chain.empty() == !canCover);
+        if (canCover)
+            CHECK(test::coversOnce(plan.chain, 12, table));
+        covered += canCover;
+    }
+    CHECK(covered > 50);
+}
+
+TEST_CASE("endpoints of another version or without the adapter are never part of a chain")
+{
+    auto other = test::engineRow("other-version", { 0, 6 });
+    other.version = "v2";
+    auto plain = test::engineRow("no-adapter", { 6, 12 });
+    auto front = test::engineRow("front", { 0, 6 });
+    auto back = test::engineRow("back", { 6, 12 });
+    front.adapters = back.adapters = { "urdu" };
+    auto table = tableOf({ other, plain, front, back });
+    table.routes.front().adapter = "urdu";
+    Fixture fixture(table);
+    for (int i = 0; i < 50; ++i) {
+        auto plan = fixture.plan();
+        REQUIRE(plan.chain.size() == 2);
+        CHECK(names(plan.chain, "front"));
+        CHECK(names(plan.chain, "back"));
+    }
+}
+
+TEST_CASE("a link that is a hundred times slower is avoided")
+{
+    auto slow = test::engineRow("slow-link", { 4, 8 });
+    slow.linkMbps = 10;
+    Fixture fixture(tableOf({ test::engineRow("front", { 0, 4 }), slow, test::engineRow("middle", { 4, 8 }),
+        test::engineRow("back", { 8, 12 }) }));
+    for (int i = 0; i < 50; ++i)
+        CHECK_FALSE(names(fixture.plan().chain, "slow-link"));
+}
+
+TEST_CASE("a chain inside one data centre is preferred to one that crosses")
+{
+    Fixture fixture(tableOf({ test::engineRow("front-n", { 0, 6 }), test::engineRow("front-s", { 0, 6 }, "south"),
+        test::engineRow("back-n", { 6, 12 }), test::engineRow("back-s", { 6, 12 }, "south") }));
+    for (int i = 0; i < 50; ++i) {
+        auto chain = fixture.plan().chain;
+        CHECK(names(chain, "front-n") == names(chain, "back-n"));
+    }
+}
+
+TEST_CASE("an endpoint that is measured as slow is avoided, though only whole chains are measured")
+{
+    Fixture fixture(tableOf({ test::engineRow("front-a", { 0, 6 }), test::engineRow("front-b", { 0, 6 }),
+        test::engineRow("back-a", { 6, 12 }), test::engineRow("back-b", { 6, 12 }) }));
+    for (int i = 0; i < 400; ++i) {
+        Chain chain { { EndpointId(i % 2 ? "front-a" : "front-b"), { 0, 6 } },
+            { EndpointId(i / 2 % 2 ? "back-a" : "back-b"), { 6, 12 } } };
+        std::vector<EndpointIndex> hops { *fixture.book.find(chain[0].endpoint),
+            *fixture.book.find(chain[1].endpoint) };
+        fixture.model.learnDecode(fixture.book, hops, chain, names(chain, "back-b") ? 0.050 : 0.020);
+    }
+    for (int i = 0; i < 50; ++i)
+        CHECK(names(fixture.plan().chain, "back-a"));
+}
+
+TEST_CASE("an endpoint without room is left out unless the attempt may wait there")
+{
+    Fixture fixture(tableOf({ test::engineRow("front", { 0, 6 }), test::engineRow("back", { 6, 12 }) }));
+    fixture.book.report(start, LoadReported { EndpointId("back"), 4, 3, 0ms });
+    CHECK(fixture.plan().chain.empty());
+    internal::PlanRequest replacement;
+    replacement.needsRoom = false;
+    CHECK(fixture.plan(replacement).chain.size() == 2);
+}
+
+TEST_CASE("a load report that is older than its age limit no longer counts")
+{
+    Fixture fixture(tableOf({ test::engineRow("front", { 0, 6 }), test::engineRow("back", { 6, 12 }) }));
+    fixture.book.report(start, LoadReported { EndpointId("back"), 4, 3, EndpointBook::maxReportAge + 1ms });
+    CHECK(fixture.plan().chain.size() == 2);
+}
+
+TEST_CASE("own work in flight is added to a report that was measured before it")
+{
+    Fixture fixture(tableOf({ test::engineRow("front", { 0, 6 }), test::engineRow("back", { 6, 12 }) }));
+    auto back = *fixture.book.find(EndpointId("back"));
+    fixture.book.changeOwn(start, back, 1);
+    fixture.book.changeOwn(start, back, 1);
+    fixture.book.report(start + 100ms, LoadReported { EndpointId("back"), 1, 0, 200ms });
+    CHECK(fixture.book.outstanding(start + 100ms, fixture.book[back]) == doctest::Approx(3));
+    fixture.book.report(start + 500ms, LoadReported { EndpointId("back"), 3, 0, 200ms });
+    CHECK(fixture.book.outstanding(start + 500ms, fixture.book[back]) == doctest::Approx(3));
+}
+
+TEST_CASE("a cached prefix attracts a request, but not to an endpoint without room")
+{
+    std::vector<EndpointRow> rows;
+    for (const char* name : { "a", "b", "c", "d" }) {
+        rows.push_back(test::engineRow(std::string("front-") + name, { 0, 6 }));
+        rows.push_back(test::engineRow(std::string("back-") + name, { 6, 12 }));
+    }
+    Fixture fixture(tableOf(rows), 1);
+    std::vector<uint64_t> digests { 11, 12, 13 };
+    for (const char* name : { "front-c", "back-c" })
+        fixture.prefixes.apply(*fixture.book.find(EndpointId(name)), 1, digests, {});
+    internal::PlanRequest request;
+    request.promptTokens = 4000;
+    request.tokens = 20;
+    request.prefixDigests = &digests;
+    int hits = 0;
+    for (int i = 0; i < 20; ++i)
+        hits += names(fixture.plan(request).chain, "front-c");
+    CHECK(hits == 20);
+    fixture.book.report(start, LoadReported { EndpointId("front-c"), 4, 0, 0ms });
+    for (int i = 0; i < 20; ++i)
+        CHECK_FALSE(names(fixture.plan(request).chain, "front-c"));
+}
+
+TEST_CASE("gaps in cache events and answers that miss lower the belief in a prefix")
+{
+    internal::PrefixIndex index;
+    std::vector<uint64_t> digests { 1, 2 };
+    index.apply(0, 1, digests, {});
+    CHECK(index.expectedShare(0, digests) == doctest::Approx(1));
+    CHECK(index.expectedShare(0, { 1, 9 }) == doctest::Approx(0.5));
+    index.apply(0, 5, {}, {});
+    CHECK(index.expectedShare(0, digests) == doctest::Approx(0.5));
+    for (int i = 0; i < 20; ++i)
+        index.learn(0, false);
+    CHECK(index.expectedShare(0, digests) < 0.1);
+    index.apply(0, 6, {}, { 1, 2 });
+    CHECK(index.expectedShare(0, digests) == 0);
+    CHECK(index.holders(digests).empty());
+}
+
+TEST_CASE("subsets are bounded, cover every stage, are balanced, and change little when endpoints come and go")
+{
+    std::vector<EndpointRow> rows;
+    for (uint32_t i = 0; i < 180; ++i) {
+        auto stage = i % 3 * 4;
+        rows.push_back(test::engineRow("e" + std::to_string(i), { stage, stage + 4 }, i % 2 ? "north" : "south"));
+    }
+    auto table = tableOf(rows);
+    auto fewer = table;
+    std::erase_if(fewer.endpoints, [](const auto& row) { return row.endpoint == EndpointId("e7"); });
+    EndpointBook book;
+    book.adopt(table);
+    EndpointBook fewerBook;
+    fewerBook.adopt(fewer);
+    constexpr uint32_t daemons = 80;
+    std::map<EndpointId, int> used;
+    size_t moved = 0;
+    for (uint64_t daemon = 0; daemon < daemons; ++daemon) {
+        auto members = [&](const EndpointBook& from) {
+            std::set<EndpointId> ids;
+            auto pool = buildPool(from, table.routes.front(), { DataCentreId("north"), daemon * 7919 + 1, 8, 2 });
+            CHECK(pool.isCovered);
+            for (const auto& group : pool.groups) {
+                CHECK(group.members.size() == 10);
+                for (auto index : group.members)
+                    ids.insert(from[index].row.endpoint);
+            }
+            return ids;
+        };
+        auto before = members(book);
+        auto after = members(fewerBook);
+        for (const auto& it : before) {
+            ++used[it];
+            moved += !after.contains(it);
+        }
+        // Only the lost endpoint's place is taken by another one.
+        CHECK(moved <= used[EndpointId("e7")]);
+    }
+    // 30 local endpoints per stage share 80 x 8 places: 21 on average.
+    int least = daemons;
+    int most = 0;
+    for (uint32_t i = 1; i < 180; i += 2) {
+        auto n = used[EndpointId("e" + std::to_string(i))];
+        least = std::min(least, n);
+        most = std::max(most, n);
+    }
+    CHECK(least >= 8);
+    CHECK(most <= 40);
+}
+
+TEST_CASE("twenty daemons with the same late report do not all choose the same endpoint")
+{
+    std::vector<EndpointRow> rows;
+    for (uint32_t i = 0; i < 20; ++i)
+        rows.push_back(test::engineRow("e" + std::to_string(i), { 0, 12 }));
+    auto table = tableOf(rows);
+    auto busiest = [&](uint32_t choices) {
+        std::map<EndpointId, int> chosen;
+        for (uint64_t daemon = 0; daemon < 20; ++daemon) {
+            auto config = test::coreConfig(daemon + 1);
+            config.choices = choices;
+            test::CoreDriver driver(config);
+            driver.adopt(table);
+            // One endpoint looks idle to everybody; the others have one slot free.
+            for (const auto& row : table.endpoints) {
+                uint32_t running = row.endpoint == EndpointId("e5") ? 0 : 2;
+                driver.send(LoadReported { row.endpoint, running, 0, 300ms });
+            }
+            auto decisions = driver.arrive("r");
+            if (const auto* dispatch = test::firstOf<Dispatch>(decisions))
+                ++chosen[dispatch->chain.front().endpoint];
+        }
+        int most = 0;
+        for (const auto& it : chosen)
+            most = std::max(most, it.second);
+        return most;
+    };
+    CHECK(busiest(0) >= 15); // Without the remedy nearly all choose the idle one.
+    CHECK(busiest(3) <= 8);
+}
