--- a/include/spindlecore/OrderMachine.h
+++ b/include/spindlecore/OrderMachine.h
@@ -151,11 +151,12 @@
     // Faults that tests plant to show that they would be found. Product code never sets one.
     struct OrderMutations {
         bool sendWithoutLease = false; // Sends on a lease believed valid, without the conditional write.
-        bool keepFenceOnTakeover = false;
+        bool keepFence = false; // Sends each order with the same fencing number.
         bool ignoreCoverage = false;
         bool ignoreOutstanding = false; // Forgets the orders of the previous holder.
         bool unboundedInFlight = false;
         bool confirmByOldStatus = false;
+        bool useOldStatus = false; // Counts engines as in service by what was seen before the takeover.
     };
 } // namespace internal
 
--- a/src/core/OrderMachine.cpp
+++ b/src/core/OrderMachine.cpp
@@ -142,7 +142,7 @@
     if (order) {
         std::erase_if(lease.outstanding, [&](const auto& it) { return it.endpoint == order->endpoint; });
         lease.outstanding.push_back(*order);
-        ++lease.fence;
+        lease.fence += m_mutations.keepFence ? 0 : 1;
     }
     m_toSend = order;
     if (order && m_mutations.sendWithoutLease) {
@@ -165,7 +165,7 @@
     OrderLease lease = m_lease;
     lease.holder = m_config.host;
     lease.incarnation = m_config.incarnation;
-    if (!m_mutations.keepFenceOnTakeover)
+    if (!m_mutations.keepFence)
         ++lease.fence;
     if (m_mutations.ignoreOutstanding)
         lease.outstanding.clear();
--- a/src/core/OrderPlan.cpp
+++ b/src/core/OrderPlan.cpp
@@ -19,6 +19,19 @@
         return std::find(seen.adapters.begin(), seen.adapters.end(), adapter) != seen.adapters.end();
     }
 
+    bool hasEffectOf(const EngineSeen& seen, const OutstandingOrder& order)
+    {
+        switch (order.kind) {
+        case OrderKind::LoadVersion:
+            return seen.version == order.value;
+        case OrderKind::LoadAdapter:
+            return hasAdapter(seen, order.value);
+        case OrderKind::ChangeRole:
+            break;
+        }
+        return seen.layers == order.layers;
+    }
+
 } // namespace
 
 bool OrderMachine::isOwnEngine(const EndpointRow& row) const
@@ -60,7 +73,8 @@
     auto sent = m_sent.find(endpoint);
     if (sent == m_sent.end())
         return true;
-    bool isLost = sent->second.outcome != OrderOutcome::Accepted || engine->second.seen.isServing;
+    const auto& seen = engine->second.seen;
+    bool isLost = sent->second.outcome != OrderOutcome::Accepted || (seen.isServing && seen.asOf >= sent->second.mark);
     return isLost && now >= sent->second.at + m_config.retryEvery;
 }
 
@@ -125,7 +139,8 @@
 {
     const auto& seen = m_engines.at(row.endpoint).seen;
     bool isServing = seen.isServing && row.state == AdminState::Active;
-    if (m_mutations.ignoreCoverage || !isServing || !interruptsService(order))
+    bool isHarmless = !isServing || !interruptsService(order) || hasEffectOf(seen, order);
+    if (isHarmless || m_mutations.ignoreCoverage)
         return false;
     if (!isProtected(row.target, seen.version, inService))
         return false;
@@ -170,15 +185,7 @@
         if (sent->second.outcome == OrderOutcome::Failed)
             return true;
     }
-    switch (order.kind) {
-    case OrderKind::LoadVersion:
-        return seen.version == order.value;
-    case OrderKind::LoadAdapter:
-        return hasAdapter(seen, order.value);
-    case OrderKind::ChangeRole:
-        break;
-    }
-    return seen.layers == order.layers;
+    return hasEffectOf(seen, order);
 }
 
 const OutstandingOrder* OrderMachine::findOutstanding(const EndpointId& endpoint) const
@@ -193,7 +200,7 @@
 bool OrderMachine::isFresh(Instant now, const EndpointId& endpoint) const
 {
     const auto& [seen, at] = m_engines.at(endpoint);
-    return seen.asOf >= m_holderMark && now - at < m_config.statusExpires;
+    return (seen.asOf >= m_holderMark || m_mutations.useOldStatus) && now - at < m_config.statusExpires;
 }
 
 bool OrderMachine::isInService(Instant now, const EndpointRow& row) const
@@ -221,20 +228,36 @@
     return result;
 }
 
-// A version must stay in service when a route asks for it, and for as long as no version that a route asks for is in
-// service with all layers.
+// A version must stay in service when a route asks for it. For as long as no such version is in service with all
+// layers, one other version must stay as well: the one that covers the most layers.
 bool OrderMachine::isProtected(const std::string& target, const std::string& version, const Coverage& inService) const
 {
-    bool isWhole = false;
+    bool isAskedForWhole = false;
     for (const auto& it : m_table->routes) {
         if (it.kind != RouteKind::Model || it.target != target)
             continue;
         if (it.version == version)
             return true;
         auto counts = inService.find({ target, it.version });
-        isWhole = isWhole || (counts != inService.end() && counts->second.size() >= it.layers);
+        isAskedForWhole = isAskedForWhole || (counts != inService.end() && counts->second.size() >= it.layers);
+    }
+    if (isAskedForWhole)
+        return false;
+    const std::string* kept = nullptr;
+    std::pair<size_t, uint32_t> most;
+    for (const auto& [key, counts] : inService) {
+        if (key.first != target)
+            continue;
+        uint32_t total = 0;
+        for (const auto& [layer, n] : counts)
+            total += n;
+        auto extent = std::pair(counts.size(), total);
+        if (kept && extent <= most)
+            continue;
+        kept = &key.second;
+        most = extent;
     }
-    return !isWhole;
+    return !kept || *kept == version;
 }
 
 } // namespace jacinthspindle
--- a/test/core/ActionProtocolTest.cpp
+++ b/test/core/ActionProtocolTest.cpp
@@ -73,7 +73,7 @@
             continue;
         const auto& answer = *party.answer;
         bool ran = std::any_of(world.endpoints.begin(), world.endpoints.end(),
-            [&](const auto& endpoint) { return endpoint.second.ranFor.find(name) != std::string::npos; });
+            [id = name](const auto& endpoint) { return endpoint.second.ranFor.find(id) != std::string::npos; });
         if (answer.execution == Execution::NotRun && (ran || (answer.coversKey && world.effects() > 0)))
             return who + "answered not run, but it ran";
         if (answer.execution == Execution::Ran && party.effectsAtAnswer == 0)
--- /dev/null
+++ b/test/core/OrderProtocolTest.cpp
@@ -0,0 +1,266 @@
+// Failure tests of the order protocol: every fault at every step of two daemons that order engines to load versions,
+// alone and in pairs.
+
+#include "support/OrderParties.h"
+
+#include <doctest/doctest.h>
+
+using namespace jacinthspindle;
+using namespace jacinthspindle::test;
+using internal::OrderMutations;
+
+namespace {
+
+constexpr std::array orderFaults { Fault::LostRequest, Fault::LostAnswer, Fault::Late, Fault::Doubled, Fault::Refused,
+    Fault::Pause, Fault::PauseAfter, Fault::Crash, Fault::CrashAfter };
+
+struct Exploration {
+    uint32_t cases = 0;
+    std::string failure;
+    bool isSafetyOnly = false; // Ignores that an order was never carried out.
+};
+
+bool explore(const OrderScenario& scenario, OrderMutations mutations, Exploration& result,
+    std::map<char, uint32_t>* steps = nullptr)
+{
+    OrderWorld world(scenario, mutations);
+    auto violation = world.play();
+    if (violation.empty() && !result.isSafetyOnly)
+        violation = world.unfinished;
+    if (world.faultsApplied < scenario.faults.size())
+        return false;
+    ++result.cases;
+    if (!violation.empty() && result.failure.empty())
+        result.failure = scenario.name() + " -> " + violation;
+    if (steps)
+        *steps = world.steps;
+    return true;
+}
+
+void forEachPoint(const std::map<char, uint32_t>& steps, const std::function<void(FaultPoint)>& visit)
+{
+    for (const auto& [party, n] : steps) {
+        for (uint32_t step = 0; step < n; ++step) {
+            for (Fault fault : orderFaults)
+                visit({ party, step, fault });
+        }
+    }
+}
+
+std::vector<OrderScenario> everyScenario(bool checksFence)
+{
+    return {
+        { { "v2" }, 6, checksFence },
+        { { "v2" }, 6, checksFence, 25 },
+        { { "v2" }, 2, checksFence, 0, 5, 7 },
+        { { "v2", "v3" }, 2, checksFence },
+        { { "v2", "v3" }, 6, checksFence },
+        { { "v2", "v3" }, 15, checksFence, 0, 5, 7 },
+        { { "v2", "v1", "v3" }, 6, checksFence, 0, 2, 3 },
+        { { "v2", "v1", "v3" }, 2, checksFence, 25, 4 },
+    };
+}
+
+void exploreSingles(const OrderScenario& plain, OrderMutations mutations, Exploration& result)
+{
+    std::map<char, uint32_t> steps;
+    explore(plain, mutations, result, &steps);
+    forEachPoint(steps, [&](FaultPoint point) {
+        OrderScenario single = plain;
+        single.faults = { point };
+        if (result.failure.empty())
+            explore(single, mutations, result);
+    });
+}
+
+// Pairs whose first fault stops a daemon or delays a message, each within the first steps of a daemon: its claim, its
+// first orders and a takeover.
+void explorePairs(const OrderScenario& plain, OrderMutations mutations, Exploration& result)
+{
+    constexpr uint32_t firstSteps = 7;
+    const std::map<char, uint32_t> steps { { 'A', firstSteps }, { 'B', firstSteps } };
+    forEachPoint(steps, [&](FaultPoint first) {
+        bool isDelay = first.fault == Fault::Pause || first.fault == Fault::PauseAfter
+            || first.fault == Fault::CrashAfter || first.fault == Fault::Late;
+        forEachPoint(steps, [&](FaultPoint second) {
+            bool isOther = second.party != first.party || second.step != first.step;
+            if (!isDelay || !isOther || !result.failure.empty())
+                return;
+            OrderScenario pair = plain;
+            pair.faults = { first, second };
+            explore(pair, mutations, result);
+        });
+    });
+}
+
+} // namespace
+
+TEST_CASE("orders leave each layer in service under each fault and reach what the table asks")
+{
+    Exploration result;
+    for (const auto& it : everyScenario(true))
+        exploreSingles(it, {}, result);
+    CHECK_MESSAGE(result.failure.empty(), result.failure);
+    MESSAGE("cases played: ", result.cases);
+    CHECK(result.cases > 3000);
+}
+
+TEST_CASE("orders leave each layer in service under pairs of faults with a takeover")
+{
+    Exploration result;
+    explorePairs({ { "v2", "v3" }, 6 }, {}, result);
+    CHECK_MESSAGE(result.failure.empty(), result.failure);
+    MESSAGE("cases played: ", result.cases);
+}
+
+TEST_CASE("each planted fault of the order protocol is found")
+{
+    struct Mutation {
+        std::string name;
+        bool OrderMutations::*flag;
+    };
+    const std::array mutations {
+        Mutation { "order sent on a lease believed valid", &OrderMutations::sendWithoutLease },
+        Mutation { "fence kept on takeover", &OrderMutations::keepFence },
+        Mutation { "last coverage ignored", &OrderMutations::ignoreCoverage },
+        Mutation { "orders of the former holder forgotten", &OrderMutations::ignoreOutstanding },
+        Mutation { "orders in flight not bounded", &OrderMutations::unboundedInFlight },
+    };
+    for (const auto& mutation : mutations) {
+        OrderMutations planted;
+        planted.*mutation.flag = true;
+        Exploration result;
+        result.isSafetyOnly = true;
+        for (const auto& it : everyScenario(true)) {
+            if (result.failure.empty())
+                exploreSingles(it, planted, result);
+        }
+        if (result.failure.empty())
+            explorePairs({ { "v2", "v3" }, 6 }, planted, result);
+        MESSAGE(mutation.name, ": ", result.failure);
+        CHECK_MESSAGE(!result.failure.empty(), mutation.name, " was not found");
+    }
+}
+
+// A late or repeated order of an earlier table is the fault that fences guard against; its harm depends on the moment.
+Exploration exploreLateOrders(bool checksFence)
+{
+    Exploration result;
+    for (uint32_t delay = 2; delay <= 20; ++delay) {
+        for (uint32_t step = 0; step < 16; ++step) {
+            for (Fault fault : { Fault::Pause, Fault::Late, Fault::Doubled }) {
+                OrderScenario scenario { { "v2", "v3" }, delay, checksFence };
+                scenario.faults = { { 'A', step, fault } };
+                explore(scenario, {}, result);
+            }
+        }
+    }
+    return result;
+}
+
+TEST_CASE("an order that arrives late does no harm at engines that check fences, whenever it arrives")
+{
+    auto result = exploreLateOrders(true);
+    CHECK_MESSAGE(result.failure.empty(), result.failure);
+    MESSAGE("cases played: ", result.cases);
+}
+
+// Shows the window that docs/actions.md describes, so that the page stays true.
+TEST_CASE("engines that do not check fences stay in service unless an order of an earlier table arrives late")
+{
+    Exploration once;
+    for (const auto& it : everyScenario(false)) {
+        if (it.versions.size() == 1)
+            exploreSingles(it, {}, once);
+    }
+    CHECK_MESSAGE(once.failure.empty(), once.failure);
+    auto late = exploreLateOrders(false);
+    MESSAGE("window: ", late.failure);
+    CHECK_FALSE(late.failure.empty());
+}
+
+namespace {
+
+// A machine that has just taken the lease of another holder over, while engines of two stages are at v1.
+struct Successor {
+    explicit Successor(OrderMutations mutations)
+        : machine({ HostId("b"), 1, DataCentreId("north"), 1 }, mutations)
+    {
+        auto wanted = std::make_shared<Table>(sampleTable());
+        for (auto& it : wanted->endpoints)
+            it.version = it.kind == EndpointKind::Engine ? "v2" : "";
+        table = wanted;
+        give(OrderTableAdopted { table });
+        see(0, "v1");
+        answerLease(give(OrderTick { 1 }), { orderLeaseFormat, HostId("a"), 1, 4, {} });
+        now += std::chrono::seconds(20);
+        see(0, "v1");
+        answerLease(give(OrderTick { 2 }), { orderLeaseFormat, HostId("a"), 1, 4, {} });
+    }
+
+    std::vector<OrderOutput> give(const OrderInput& input) { return machine.apply(now, input); }
+    void see(uint64_t asOf, const std::string& version)
+    {
+        for (const auto& it : table->endpoints)
+            give(EngineSeen { it.endpoint, true, true, version, {}, it.layers, asOf });
+    }
+    // Answers reads with the lease and commits writes, until the machine wants something else.
+    void answerLease(std::vector<OrderOutput> outputs, const OrderLease& lease)
+    {
+        while (!outputs.empty()) {
+            const auto output = outputs.back();
+            if (const auto* read = std::get_if<ReadLease>(&output))
+                outputs = give(LeaseRead { read->step, ReadOutcome::Found, lease, 9 });
+            else if (const auto* write = std::get_if<WriteLease>(&output))
+                outputs = give(LeaseAnswered { write->step, CommitOutcome::Committed });
+            else {
+                sent = std::get<SendOrder>(output);
+                return;
+            }
+        }
+    }
+
+    Instant now { std::chrono::seconds(1000) };
+    std::shared_ptr<const Table> table;
+    OrderMachine machine;
+    std::optional<SendOrder> sent;
+};
+
+} // namespace
+
+// Guards against unloading the last copy because the former holder's orders are not in the statuses yet.
+TEST_CASE("a new holder orders nothing before it has asked the engines itself")
+{
+    for (bool useOldStatus : { false, true }) {
+        OrderMutations planted;
+        planted.useOldStatus = useOldStatus;
+        Successor successor(planted);
+        CHECK(successor.machine.isHolder());
+        CHECK(successor.sent.has_value() == useOldStatus);
+        successor.see(successor.machine.statusMark(), "v1");
+        successor.answerLease(successor.give(OrderTick { 3 }), {});
+        CHECK(successor.sent);
+    }
+}
+
+// Guards against taking the copy of an engine that is still loading, after a status from before the order.
+TEST_CASE("an order is confirmed only by a status that was asked for after its answer")
+{
+    for (bool confirmByOldStatus : { false, true }) {
+        OrderMutations planted;
+        planted.confirmByOldStatus = confirmByOldStatus;
+        Successor successor(planted);
+        auto before = successor.machine.statusMark();
+        successor.see(before, "v1");
+        successor.answerLease(successor.give(OrderTick { 3 }), {});
+        REQUIRE(successor.sent);
+        auto endpoint = successor.sent->order.endpoint;
+        successor.answerLease(successor.give(OrderAnswered { successor.sent->step, OrderOutcome::Accepted }), {});
+        successor.give(EngineSeen { endpoint, true, true, "v2", {}, { 0, 4 }, before });
+        successor.answerLease(successor.give(OrderTick { 4 }), {});
+        const auto& outstanding = successor.machine.outstanding();
+        bool isListed = std::any_of(
+            outstanding.begin(), outstanding.end(), [&](const auto& it) { return it.endpoint == endpoint; });
+        CHECK(isListed == !confirmByOldStatus);
+    }
+}
