Test the stream protocol and carry the attempt in the cursor

Cause: no test played streams with failover and resumption; a resumed stream counted its attempts from 1 again, so that a late token of the former daemon's attempt could carry a number that is in use. Change: StreamProtocolTest plays two callers with each fault at each of their first eight tokens, alone and in pairs, with engines that repeat their text and engines that do not. The cursor also holds the attempt of its last token, and a resumed stream goes on with a greater one. Conclusion: a caller receives its own whole answer or a numbered error.

--- a/include/spindlecore/StreamCursor.h
+++ b/include/spindlecore/StreamCursor.h
@@ -29,9 +29,13 @@
     uint64_t seed = 0;
     std::string version; // Of the model.
     uint64_t logicalTime = 0; // Lamport time of the daemon that wrote the cursor.
+    // Of the token before nextPosition. A resumed stream goes on with a greater number, so that late tokens of the
+    // former daemon's attempt are told apart.
+    uint32_t attempt = 0;
 
     bool operator==(const StreamCursor&) const = default;
-    JACINTHSPINDLE_FIELDS(self.request, self.nextPosition, self.textDigest, self.seed, self.version, self.logicalTime)
+    JACINTHSPINDLE_FIELDS(
+        self.request, self.nextPosition, self.textDigest, self.seed, self.version, self.logicalTime, self.attempt)
 };
 
 // Longest text that parse() looks at, in bytes.
--- a/src/core/StreamValidator.cpp
+++ b/src/core/StreamValidator.cpp
@@ -83,7 +83,7 @@
         return TokenDrop::WrongLayers;
     for (size_t i = 0; i < m_chain.size(); ++i) {
         const auto& proof = token.proof[i];
-        if (proof.attempt != m_attempt)
+        if (proof.attempt != m_attempt && !m_mutations.acceptWrongAttempt)
             return TokenDrop::WrongAttempt;
         if (proof.endpoint != m_chain[i].endpoint)
             return TokenDrop::WrongEndpoint;
--- /dev/null
+++ b/test/core/StreamProtocolTest.cpp
@@ -0,0 +1,311 @@
+// Failure tests of streams: two callers, chains that fail over and daemons that die, with each fault at each token,
+// alone and in pairs.
+
+#include "support/StreamParts.h"
+
+#include <deque>
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace jacinthspindle;
+using namespace jacinthspindle::test;
+using internal::StreamMutations;
+
+namespace {
+
+enum class StreamFault : uint8_t {
+    None,
+    Lost,
+    Doubled,
+    Late, // Two tokens later.
+    LateAttempt, // After the next attempt has begun.
+    Crossed, // Also delivered to the other caller's stream.
+    StageDies,
+    DaemonDies, // The caller resumes at another daemon with its last event id.
+    WrongVersion,
+    WrongStage,
+};
+constexpr std::array faultNames { "none", "lost", "doubled", "late", "late-attempt", "crossed", "stage-dies",
+    "daemon-dies", "wrong-version", "wrong-stage" };
+
+struct StreamPoint {
+    size_t caller = 0;
+    uint32_t token = 0; // Counted over all attempts.
+    StreamFault fault = StreamFault::None;
+};
+
+struct Generated {
+    TokenEvent event;
+    std::string before; // The text that the engine continued.
+};
+
+constexpr uint32_t answerTokens = 4;
+
+struct Caller {
+    std::string request;
+    std::optional<StreamValidator> validator;
+    std::optional<PrefixChecker> prefix; // While the stream is a resumed one.
+    TextDigest digest;
+    std::string text; // What the caller has received.
+    std::string eventId;
+    uint32_t received = 0;
+    uint32_t skipBelow = 0; // Position of the cursor of a resumed stream.
+    uint32_t attempt = 0;
+    std::deque<Generated> stream;
+    std::vector<Generated> lateForAttempt;
+    std::vector<std::pair<uint32_t, Generated>> late; // With the number of the token after which it arrives.
+    uint32_t tokens = 0;
+    bool isComplete = false;
+    bool isMismatch = false;
+};
+
+class StreamWorld {
+public:
+    // isDivergent: two attempts generate different texts from the same seed.
+    StreamWorld(std::vector<StreamPoint> faults, StreamMutations mutations, bool isDivergent)
+        : m_faults(std::move(faults))
+        , m_mutations(mutations)
+        , m_isDivergent(isDivergent)
+    {
+    }
+
+    std::string play()
+    {
+        for (size_t i = 0; i < m_callers.size(); ++i) {
+            m_callers[i].request = "r" + std::to_string(i + 1);
+            begin(m_callers[i]);
+        }
+        constexpr uint32_t maxTurns = 60;
+        for (uint32_t turn = 0; turn < maxTurns && m_violation.empty(); ++turn) {
+            for (size_t i = 0; i < m_callers.size(); ++i)
+                takeTurn(i);
+        }
+        for (const auto& it : m_callers) {
+            if (m_violation.empty() && !it.isComplete && !(it.isMismatch && m_isDivergent))
+                m_violation = it.request + " has no whole answer";
+        }
+        return m_violation;
+    }
+    uint32_t faultsApplied = 0;
+
+private:
+    // Opens the next attempt from the position that the validator has reached.
+    void openAttempt(Caller& caller)
+    {
+        ++caller.attempt;
+        std::string copy = caller.attempt % 3 == 0 ? "b" : "a"; // The second attempt uses the same chain.
+        uint32_t first = caller.validator->nextPosition();
+        caller.validator->expect(caller.attempt, sampleChain(copy), "v1", first);
+        std::string text = first == 0 ? "" : m_generated[caller.request + std::to_string(first)];
+        caller.stream.clear();
+        for (uint32_t i = first; i < answerTokens; ++i) {
+            auto event = token(caller.attempt, i, i + 1 == answerTokens, caller.request, copy);
+            event.text = "<" + caller.request + std::to_string(i)
+                + (m_isDivergent ? "@" + std::to_string(caller.attempt) : "") + ">";
+            caller.stream.push_back({ event, text });
+            text += event.text;
+        }
+        for (const auto& it : std::exchange(caller.lateForAttempt, {}))
+            deliver(caller, it);
+    }
+    void begin(Caller& caller)
+    {
+        caller.validator.emplace(RequestId(caller.request), sampleLayers, m_mutations);
+        openAttempt(caller);
+    }
+    void resume(Caller& caller)
+    {
+        caller.prefix.reset();
+        if (caller.received == 0)
+            caller.request += "'"; // Without an event id the repetition is a new request.
+        else {
+            Reason reason;
+            auto cursor = m_codec.parse(caller.eventId, caller.request, reason);
+            REQUIRE_MESSAGE(cursor, reason.text);
+            caller.attempt = std::max(caller.attempt, cursor->attempt);
+            caller.prefix.emplace(*cursor);
+            caller.skipBelow = cursor->nextPosition;
+        }
+        begin(caller);
+    }
+
+    StreamFault faultAt(size_t index)
+    {
+        for (const auto& it : m_faults) {
+            if (it.caller == index && it.token == m_callers[index].tokens) {
+                ++faultsApplied;
+                return it.fault;
+            }
+        }
+        return StreamFault::None;
+    }
+
+    void takeTurn(size_t index)
+    {
+        auto& caller = m_callers[index];
+        if (caller.isComplete || caller.isMismatch)
+            return;
+        if (caller.stream.empty() || caller.validator->attemptFailed()) {
+            openAttempt(caller);
+            return;
+        }
+        auto next = caller.stream.front();
+        caller.stream.pop_front();
+        auto fault = faultAt(index);
+        ++caller.tokens;
+        switch (fault) {
+        case StreamFault::Lost:
+            break;
+        case StreamFault::Late:
+            caller.late.emplace_back(caller.tokens + 2, next);
+            break;
+        case StreamFault::LateAttempt:
+            caller.lateForAttempt.push_back(next);
+            break;
+        case StreamFault::StageDies:
+            caller.stream.clear();
+            break;
+        case StreamFault::DaemonDies:
+            resume(caller);
+            break;
+        case StreamFault::WrongVersion:
+            next.event.proof[0].version = "v2";
+            deliver(caller, next);
+            break;
+        case StreamFault::WrongStage:
+            next.event.proof.pop_back();
+            deliver(caller, next);
+            break;
+        case StreamFault::Crossed:
+            deliver(m_callers[1 - index], next);
+            deliver(caller, next);
+            break;
+        case StreamFault::Doubled:
+            deliver(caller, next);
+            [[fallthrough]];
+        case StreamFault::None:
+            deliver(caller, next);
+            break;
+        }
+        for (auto& [after, late] : caller.late) {
+            if (after == caller.tokens)
+                deliver(caller, late);
+        }
+    }
+
+    void deliver(Caller& caller, const Generated& generated)
+    {
+        if (caller.isComplete || caller.isMismatch)
+            return;
+        const auto& event = generated.event;
+        auto output = caller.validator->accept(event);
+        if (std::holds_alternative<Dropped>(output))
+            return;
+        if (event.proof.size() != 2 || event.proof[0].version != "v1")
+            fail(caller, "a token that skipped a stage or came from another version");
+        if (event.request != RequestId(caller.request))
+            fail(caller, "a token of another request");
+        m_generated[caller.request + std::to_string(event.position + 1)] = generated.before + event.text;
+        if (caller.prefix && caller.prefix->add(event.position, event.text, event.isLast) == PrefixState::Mismatch) {
+            caller.isMismatch = true;
+            return;
+        }
+        caller.isComplete = std::holds_alternative<Complete>(output);
+        if (caller.prefix && event.position < caller.skipBelow)
+            return;
+        if (generated.before != caller.text)
+            fail(caller, "a token that does not continue its text");
+        caller.text += event.text;
+        ++caller.received;
+        caller.digest.add(event.text);
+        caller.eventId = m_codec.format(
+            { event.request, caller.received, caller.digest.value(), 1, "v1", 0, event.attempt }, caller.request);
+        if (caller.isComplete && caller.received != answerTokens)
+            fail(caller, "an end after " + std::to_string(caller.received) + " tokens");
+    }
+    void fail(const Caller& caller, const std::string& what) { m_violation = caller.request + " received " + what; }
+
+    std::vector<StreamPoint> m_faults;
+    StreamMutations m_mutations;
+    bool m_isDivergent = false;
+    std::array<Caller, 2> m_callers;
+    std::map<std::string, std::string> m_generated; // Text before each position, as the validator accepted it.
+    CursorCodec m_codec { "key" };
+    std::string m_violation;
+};
+
+struct Exploration {
+    uint32_t cases = 0;
+    std::string failure;
+};
+
+void explore(const std::vector<StreamPoint>& faults, StreamMutations mutations, Exploration& result)
+{
+    for (bool isDivergent : { false, true }) {
+        StreamWorld world(faults, mutations, isDivergent);
+        auto violation = world.play();
+        if (world.faultsApplied < faults.size())
+            continue;
+        ++result.cases;
+        if (violation.empty() || !result.failure.empty())
+            continue;
+        result.failure = isDivergent ? "divergent" : "same text";
+        for (const auto& it : faults)
+            result.failure += " | r" + std::to_string(it.caller + 1) + " token " + std::to_string(it.token) + " "
+                + faultNames[static_cast<size_t>(it.fault)];
+        result.failure += " -> " + violation;
+    }
+}
+
+Exploration exploreAll(StreamMutations mutations)
+{
+    constexpr uint32_t tokenPoints = 8;
+    std::vector<StreamPoint> points;
+    for (size_t caller : { 0, 1 }) {
+        for (uint32_t i = 0; i < tokenPoints; ++i) {
+            for (uint8_t fault = 1; fault < faultNames.size(); ++fault)
+                points.push_back({ caller, i, static_cast<StreamFault>(fault) });
+        }
+    }
+    Exploration result;
+    explore({}, mutations, result);
+    for (const auto& it : points)
+        explore({ it }, mutations, result);
+    for (size_t i = 0; i < points.size() && result.failure.empty(); ++i) {
+        for (size_t k = i + 1; k < points.size(); ++k)
+            explore({ points[i], points[k] }, mutations, result);
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("each caller receives its own whole answer under each fault and each pair of faults")
+{
+    auto result = exploreAll({});
+    CHECK_MESSAGE(result.failure.empty(), result.failure);
+    MESSAGE("cases played: ", result.cases);
+    CHECK(result.cases > 5000);
+}
+
+TEST_CASE("each planted fault of the stream protocol is found")
+{
+    struct Mutation {
+        std::string name;
+        bool StreamMutations::*flag;
+    };
+    const std::array mutations {
+        Mutation { "wrong request accepted", &StreamMutations::acceptWrongRequest },
+        Mutation { "wrong attempt accepted", &StreamMutations::acceptWrongAttempt },
+        Mutation { "old position accepted", &StreamMutations::acceptOldPosition },
+        Mutation { "gap accepted", &StreamMutations::acceptGap },
+        Mutation { "proof not checked", &StreamMutations::acceptWrongProof },
+    };
+    for (const auto& mutation : mutations) {
+        StreamMutations planted;
+        planted.*mutation.flag = true;
+        auto result = exploreAll(planted);
+        MESSAGE(mutation.name, ": ", result.failure);
+        CHECK_MESSAGE(!result.failure.empty(), mutation.name, " was not found");
+    }
+}
