--- a/src/core/Admission.cpp
+++ b/src/core/Admission.cpp
@@ -13,6 +13,9 @@
     constexpr double admittedLengths = 0.9;
     // Estimates of service time are exceeded now and then by this ratio.
     constexpr double serviceMargin = 1.2;
+    // The first request of a workspace may wait longer: a daemon frees a slot only about once per second, and a
+    // workspace with little work would otherwise lose its share by chance.
+    constexpr double firstFactor = 2;
     // Flows that are tried for one free slot before the daemon waits for the next.
     constexpr size_t triedFlows = 4;
     // Part of the slots that long work may have at any time.
@@ -78,7 +81,7 @@
         return;
     ++it->second.active;
     it->second.requests.charge(now, 1);
-    it->second.tokens.charge(now, request.arrival.promptTokens + request.expectedTokens);
+    it->second.tokens.charge(now, request.arrival.promptTokens + request.estimatedTokens);
 }
 
 void CoreState::refuse(Instant, const RequestId& id, ResultCode code, Duration wait, Decisions& decisions)
@@ -94,7 +97,7 @@
     refuse(now, id, code, wait, decisions);
     auto limits = m_limits.find(it->second.arrival.workspace);
     if (limits != m_limits.end())
-        limits->second.tokens.charge(now, -(it->second.arrival.promptTokens + it->second.expectedTokens));
+        limits->second.tokens.charge(now, -(it->second.arrival.promptTokens + it->second.estimatedTokens));
     remove(it);
 }
 
@@ -131,9 +134,10 @@
     return wait + service <= secondsOf(request.deadline - now);
 }
 
-double CoreState::maxWait(const ActiveRequest& request) const
+double CoreState::maxWait(const ActiveRequest& request, bool isFirst) const
 {
-    return secondsOf(request.deadline - request.arrivedAt) * m_config.queueSharePercent / 100;
+    double share = m_config.queueSharePercent / 100.0 * (isFirst ? firstFactor : 1);
+    return secondsOf(request.deadline - request.arrivedAt) * share;
 }
 
 // Slots that attempts of this daemon free, for the wait of queued requests.
@@ -162,7 +166,7 @@
     estimate(request);
     auto& pool = *request.pool;
     refresh(pool);
-    if (pool.pool.groups.empty())
+    if (!pool.pool.isCovered)
         return refuse(now, input.request, ResultCode::NoChain, {}, decisions);
     if (auto wait = limitWait(now, request))
         return refuse(now, input.request, ResultCode::LimitExceeded, *wait, decisions);
@@ -171,12 +175,13 @@
     if (!request.isLong)
         pool.shortDemandSinceTick += hold;
     double wait = pool.queue.expectedWait(input.workspace, request.isLong, freedSlots(pool));
-    if (wait > maxWait(request) || !canBeOnTime(now, request, wait)) {
+    if (wait > maxWait(request, false) || !canBeOnTime(now, request, wait)) {
         auto hint = Duration(std::llround(std::min(wait, 10.0) * 1e9));
         return refuse(now, input.request, ResultCode::DeadlineUnreachable, hint, decisions);
     }
     if (pool.queue.size() >= m_config.queueLimit)
         return refuse(now, input.request, ResultCode::QueueFull, std::chrono::seconds(1), decisions);
+    request.estimatedTokens = request.expectedTokens;
     chargeLimits(now, request);
     pool.queue.push(input.workspace, request.weight, { input.request, hold, request.isLong });
     auto keep = request.pool;
@@ -200,10 +205,12 @@
 // Starts waiting requests while there are slots for them.
 void CoreState::pump(Instant now, PoolState& pool, Decisions& decisions)
 {
-    bool goesOn = pool.queue.size() > 0;
-    if (goesOn)
+    if (pool.queue.size())
         refresh(pool);
-    while (goesOn) {
+    if (!pool.pool.isCovered)
+        return refuseAll(now, pool, decisions);
+    bool goesOn = true;
+    while (goesOn && pool.queue.size()) {
         goesOn = false;
         if (m_config.sharesCapacity && !pool.gate.mayDispatch(now, m_book, pool.pool))
             return;
@@ -223,6 +230,20 @@
     }
 }
 
+// Refuses all waiting requests of a pool that lost its last endpoint for some layer.
+void CoreState::refuseAll(Instant now, PoolState& pool, Decisions& decisions)
+{
+    std::vector<RequestId> waiting;
+    for (const auto& it : pool.queue.flows()) {
+        for (const auto& lane : it.second.lanes) {
+            for (const auto& queued : lane)
+                waiting.push_back(queued.request);
+        }
+    }
+    for (const auto& id : waiting)
+        refuseQueued(now, id, ResultCode::NoChain, std::chrono::seconds(1), decisions);
+}
+
 CoreState::Taken CoreState::tryFirst(
     Instant now, PoolState& pool, FairQueue::Flow& flow, size_t lane, Decisions& decisions)
 {
@@ -237,8 +258,8 @@
     if (!dispatch(now, request, request.position, true, decisions))
         return Taken::Stop;
     pool.queue.erase(request.arrival.workspace, id);
-    request.chargedTokens = request.arrival.promptTokens + request.expectedTokens;
-    pool.queue.charge(request.arrival.workspace, request.weight, request.isLong, request.chargedTokens);
+    pool.queue.charge(request.arrival.workspace, request.weight, request.isLong, request.arrival.promptTokens);
+    request.chargedPosition = request.position;
     pool.gate.redraw(m_random);
     if (request.isLong)
         pool.longThreshold = uniform(m_random);
@@ -256,7 +277,7 @@
             for (const auto& queued : lane) {
                 const auto& request = m_requests.at(queued.request);
                 double wait = pool.queue.waitBehind(it.second, ahead, freedSlots(pool));
-                bool waitsTooLong = secondsOf(now - request.arrivedAt) > maxWait(request);
+                bool waitsTooLong = secondsOf(now - request.arrivedAt) > maxWait(request, ahead <= 0);
                 if (waitsTooLong || !canBeOnTime(now, request, wait))
                     late.emplace_back(queued.request, wait);
                 else
