Name tables by reference in the daemon's trace, write chunks from a shared head and let later attempts wait longer

Cause: each adopted table stood in the trace whole; a chunk cost a JSON document per token; under an overloaded machine 37 of 550 streams ran out of attempts because each attempt had the same stall limit. Change: withTableReference() for recorded tables; ChunkWriter; the stall limit doubles with each attempt; the cursor carries the attempt. Measured: before, 550 streams of 212 tokens on a machine with a load of 20 from other work: 513 whole, 37 attempts-exhausted, 58 MB RSS, 692 threads.

--- a/src/daemon/CompletionHandler.cpp
+++ b/src/daemon/CompletionHandler.cpp
@@ -81,8 +81,9 @@
         "text/event-stream", [this, stream, identity, handle](size_t, httplib::DataSink& sink) {
             auto send = [&sink](const std::string& text) { return sink.write(text.data(), text.size()); };
             bool isFirst = !stream->isResumed();
+            ChunkWriter writer(identity);
             auto end = stream->run([&](const StreamToken& token) {
-                auto chunk = chunkJson(identity, token.text, isFirst, FinishReason::None);
+                auto chunk = writer.tokenChunk(token.text, isFirst);
                 isFirst = false;
                 return send(eventText(token.cursor, chunk));
             });
@@ -94,7 +95,7 @@
                 send(eventText(stream->lastCursor(), problemJson(problemOf(end, stream->request())), "error"));
             else {
                 m_context.metrics.addResult(ResultCode::Ok);
-                send(eventText(stream->lastCursor(), chunkJson(identity, "", isFirst, finishReasonOf(*stream))));
+                send(eventText(stream->lastCursor(), writer.finishChunk(isFirst, finishReasonOf(*stream))));
                 send(eventText(stream->lastCursor(), "[DONE]"));
             }
             sink.done();
--- a/src/daemon/CompletionJson.cpp
+++ b/src/daemon/CompletionJson.cpp
@@ -171,24 +171,35 @@
     return std::nullopt;
 }
 
-std::string chunkJson(
-    const CompletionIdentity& identity, const std::string& text, bool isFirst, FinishReason finishReason)
+ChunkWriter::ChunkWriter(const CompletionIdentity& identity)
+    : m_isChat(identity.form == CompletionForm::Chat)
+    , m_head(dumpLossy(headJson(identity, "chat.completion.chunk")))
 {
-    auto json = headJson(identity, "chat.completion.chunk");
-    Json choice = { { "index", 0 }, { "finish_reason", finishJson(finishReason) } };
-    if (identity.form == CompletionForm::Text) {
-        choice["text"] = text;
-        choice["logprobs"] = nullptr;
-    } else {
-        Json delta = Json::object();
-        if (isFirst)
-            delta["role"] = "assistant";
-        if (finishReason == FinishReason::None)
-            delta["content"] = text;
-        choice["delta"] = std::move(delta);
-    }
-    json["choices"] = Json::array({ std::move(choice) });
-    return dumpLossy(json);
+    m_head.pop_back();
+    m_head += ",\"choices\":[{\"index\":0,";
+}
+
+std::string ChunkWriter::chunk(const std::string& choice) const
+{
+    return m_head + choice + "}]}";
+}
+
+std::string ChunkWriter::tokenChunk(const std::string& text, bool isFirst) const
+{
+    auto quoted = dumpLossy(Json(text));
+    if (!m_isChat)
+        return chunk("\"text\":" + quoted + ",\"logprobs\":null,\"finish_reason\":null");
+    const char* role = isFirst ? "\"role\":\"assistant\"," : "";
+    return chunk(std::string("\"delta\":{") + role + "\"content\":" + quoted + "},\"finish_reason\":null");
+}
+
+std::string ChunkWriter::finishChunk(bool isFirst, FinishReason finishReason) const
+{
+    auto reason = "\"finish_reason\":" + finishJson(finishReason).dump();
+    if (!m_isChat)
+        return chunk("\"text\":\"\",\"logprobs\":null," + reason);
+    const char* role = isFirst ? "\"role\":\"assistant\"" : "";
+    return chunk(std::string("\"delta\":{") + role + "}," + reason);
 }
 
 std::string answerJson(const CompletionIdentity& identity, const std::string& text, FinishReason finishReason,
--- a/src/daemon/CompletionJson.h
+++ b/src/daemon/CompletionJson.h
@@ -39,8 +39,22 @@
 
 enum class FinishReason : uint8_t { None, Stop, Length };
 
-// Returns one chunk of a stream. isFirst adds the role of a chat message.
-std::string chunkJson(const CompletionIdentity&, const std::string& text, bool isFirst, FinishReason);
+// Writes the chunks of one stream. What all chunks share is made once, because a daemon writes 20,500 chunks per second
+// at the peak.
+class ChunkWriter {
+public:
+    explicit ChunkWriter(const CompletionIdentity&);
+
+    // isFirst adds the role of a chat message.
+    std::string tokenChunk(const std::string& text, bool isFirst) const;
+    std::string finishChunk(bool isFirst, FinishReason) const;
+
+private:
+    std::string chunk(const std::string& choice) const;
+
+    bool m_isChat = false;
+    std::string m_head; // Up to the first choice.
+};
 
 struct CompletionUsage {
     uint32_t promptTokens = 0;
--- a/src/daemon/ControlLoop.cpp
+++ b/src/daemon/ControlLoop.cpp
@@ -3,6 +3,7 @@
 #include "daemon/ControlLoop.h"
 
 #include "daemon/Log.h"
+#include "spindleadapters/PeerTraceCodec.h"
 #include "spindleadapters/TraceCodec.h"
 
 namespace jacinthspindle::daemon {
@@ -200,7 +201,7 @@
     record.tableRevision = m_table ? m_table->revision : 0;
     record.request = requestOf(input);
     record.kind = TraceKind::CoreInput;
-    record.payload = encodeInput(input);
+    record.payload = encodeInput(withTableReference(input));
     m_trace.recordAt(std::move(record), now);
 
     m_decisions.clear();
--- a/src/daemon/ModelStream.cpp
+++ b/src/daemon/ModelStream.cpp
@@ -19,6 +19,7 @@
     // The first token waits for the computation of the prompt, which grows with its length.
     constexpr std::chrono::milliseconds stallPerPromptToken { 1 };
     constexpr std::chrono::milliseconds maxStall { 10000 };
+    constexpr uint32_t maxStallDoublings = 4;
 
     FailureKind failureOf(GenerationOutcome outcome)
     {
@@ -128,7 +129,9 @@
 std::chrono::milliseconds ModelStream::stallLimit() const
 {
     auto limit = stallBase + stallPerPromptToken * (m_promptTokens + m_validator->nextPosition());
-    return std::min<std::chrono::milliseconds>(limit, maxStall);
+    // Each further attempt waits twice as long: when all engines are slow, giving up early only adds work for them.
+    auto doublings = std::min(m_admission->dispatch().attempt - 1, maxStallDoublings);
+    return std::min<std::chrono::milliseconds>(limit * (1U << doublings), maxStall);
 }
 
 GenerationCall ModelStream::generationCall() const
@@ -247,7 +250,7 @@
     m_hasSentToken = true;
     m_lastTokenAt = receivedAt;
     StreamCursor cursor { answerId(), event.position + 1, textDigest(), m_seed, m_version,
-        m_context.trace.logicalTime() };
+        m_context.trace.logicalTime(), event.attempt };
     m_lastCursor = m_context.cursors.format(cursor, m_binding);
     bool isTaken = consumer({ event.text, m_lastCursor, event.isLast });
     m_context.metrics.observe(Distribution::TokenOverhead, m_context.clock.now() - receivedAt);
--- a/src/daemon/PeerControl.cpp
+++ b/src/daemon/PeerControl.cpp
@@ -11,7 +11,6 @@
 
     constexpr std::chrono::milliseconds machineTick { 100 };
     constexpr std::chrono::milliseconds statusInterval { 500 };
-    constexpr const char* configSubject = "config";
 
     MembershipConfig membershipConfig(const Settings& settings, uint64_t incarnation, uint64_t seed)
     {
@@ -66,9 +65,9 @@
 
 void PeerControl::start(Instant now)
 {
-    record(TraceKind::MembershipInput, encodeMembershipConfig(m_membershipConfig), now, configSubject);
-    record(TraceKind::ReplicaInput, encodeReplicaConfig(m_replicaConfig), now, configSubject);
-    record(TraceKind::LimitInput, encodeLimitConfig(m_sharesConfig), now, configSubject);
+    record(TraceKind::MembershipInput, encodeMembershipConfig(m_membershipConfig), now, traceConfigSubject);
+    record(TraceKind::ReplicaInput, encodeReplicaConfig(m_replicaConfig), now, traceConfigSubject);
+    record(TraceKind::LimitInput, encodeLimitConfig(m_sharesConfig), now, traceConfigSubject);
 }
 
 void PeerControl::record(TraceKind kind, std::string payload, Instant at, const std::string& subject)
@@ -200,7 +199,7 @@
     std::vector<ReplicaOutput> outputs;
     m_replica.apply(now, input, outputs);
     for (const auto& it : outputs) {
-        record(TraceKind::ReplicaOutput, encodeReplicaOutput(it), now);
+        record(TraceKind::ReplicaOutput, encodeReplicaOutput(withTableReference(it)), now);
         if (const auto* send = std::get_if<SendToPeer>(&it))
             m_send(*send);
         else if (const auto* head = std::get_if<FetchHead>(&it))
@@ -219,7 +218,7 @@
 
 void PeerControl::applyShares(Instant now, const LimitInput& input, std::vector<CoreInput>& inputs)
 {
-    record(TraceKind::LimitInput, encodeLimitInput(input), now);
+    record(TraceKind::LimitInput, encodeLimitInput(withTableReference(input)), now);
     std::vector<LimitOutput> outputs;
     m_shares.apply(now, input, outputs);
     for (const auto& it : outputs) {
