--- a/src/daemon/PeerControl.cpp
+++ b/src/daemon/PeerControl.cpp
@@ -11,7 +11,6 @@
 
     constexpr std::chrono::milliseconds machineTick { 100 };
     constexpr std::chrono::milliseconds statusInterval { 500 };
-    constexpr const char* configSubject = "config";
 
     MembershipConfig membershipConfig(const Settings& settings, uint64_t incarnation, uint64_t seed)
     {
@@ -66,9 +65,9 @@
 
 void PeerControl::start(Instant now)
 {
-    record(TraceKind::MembershipInput, encodeMembershipConfig(m_membershipConfig), now, configSubject);
-    record(TraceKind::ReplicaInput, encodeReplicaConfig(m_replicaConfig), now, configSubject);
-    record(TraceKind::LimitInput, encodeLimitConfig(m_sharesConfig), now, configSubject);
+    record(TraceKind::MembershipInput, encodeMembershipConfig(m_membershipConfig), now, traceConfigSubject);
+    record(TraceKind::ReplicaInput, encodeReplicaConfig(m_replicaConfig), now, traceConfigSubject);
+    record(TraceKind::LimitInput, encodeLimitConfig(m_sharesConfig), now, traceConfigSubject);
 }
 
 void PeerControl::record(TraceKind kind, std::string payload, Instant at, const std::string& subject)
