Tell an unsent dispatch from a lost one at the deadline

Cause: a deadline that passed before an output was carried out counted as a dispatch that may have run. Also, the daemon resumes a stream under a new request identifier, which makes the attempt in the cursor needless. Change: ActionTimedOut says whether the last output was carried out. If the claim was not, the answer is "not run"; if the dispatch was not, the claim is freed in the background.

--- a/include/spindlecore/ActionMachine.h
+++ b/include/spindlecore/ActionMachine.h
@@ -120,10 +120,11 @@
     JACINTHSPINDLE_FIELDS(self.step, self.answer)
 };
 
-// The deadline has passed. The last output may have been carried out or not; its answer is ignored from then on.
+// The deadline has passed; the answer to the last output is ignored from then on.
 struct ActionTimedOut {
     uint32_t step = 0;
-    JACINTHSPINDLE_FIELDS(self.step)
+    bool wasCarriedOut = true; // False only if the last output certainly was not and will not be carried out.
+    JACINTHSPINDLE_FIELDS(self.step, self.wasCarriedOut)
 };
 
 using ActionInput = std::variant<ActionStarted, StoreAnswered, RowRead, OwnerAnswered, DispatchAnswered, LookupAnswered,
@@ -290,6 +291,7 @@
     std::optional<Capabilities> capabilitiesOf(const ActionRow&) const;
     Settlement settlementOfUnknown() const;
     std::optional<WriteRow> voidForLateClaim() const;
+    std::optional<WriteRow> voidForOwnClaim() const;
     uint64_t fence(uint64_t epoch) const { return m_mutations.sameFence ? 1 : epoch; }
 
     internal::ActionMutations m_mutations;
--- a/include/spindlecore/StreamCursor.h
+++ b/include/spindlecore/StreamCursor.h
@@ -22,20 +22,18 @@
     std::string m_value;
 };
 
+// A daemon that resumes the stream runs it at the engines under a new RequestId, because it counts attempts from 1:
+// late tokens of the former daemon's attempts must not pass for its own.
 struct StreamCursor {
-    RequestId request;
+    RequestId request; // Under which the answer was begun.
     uint32_t nextPosition = 0;
     std::string textDigest; // TextDigest of the tokens before nextPosition.
     uint64_t seed = 0;
     std::string version; // Of the model.
     uint64_t logicalTime = 0; // Lamport time of the daemon that wrote the cursor.
-    // Of the token before nextPosition. A resumed stream goes on with a greater number, so that late tokens of the
-    // former daemon's attempt are told apart.
-    uint32_t attempt = 0;
 
     bool operator==(const StreamCursor&) const = default;
-    JACINTHSPINDLE_FIELDS(
-        self.request, self.nextPosition, self.textDigest, self.seed, self.version, self.logicalTime, self.attempt)
+    JACINTHSPINDLE_FIELDS(self.request, self.nextPosition, self.textDigest, self.seed, self.version, self.logicalTime)
 };
 
 // Longest text that parse() looks at, in bytes.
--- a/src/core/ActionMachine.cpp
+++ b/src/core/ActionMachine.cpp
@@ -357,11 +357,17 @@
     return writeVoid(m_claimVersion, ResultCode::EndpointFailed);
 }
 
-ActionOutput ActionMachine::handle(const ActionTimedOut&)
+ActionOutput ActionMachine::handle(const ActionTimedOut& timedOut)
 {
     if (m_hasAnswer)
         return answerWith(m_answer, false, m_lastWrite);
-    return answerUnknown(ResultCode::DeadlineExceeded, voidForLateClaim());
+    bool isFirstWrite = m_phase == ActionPhase::Claiming && m_reads == 0 && m_dispatches == 0;
+    if (!timedOut.wasCarriedOut && isFirstWrite)
+        return answerNotRun(ResultCode::DeadlineExceeded, Settlement::RetrySameKey, false);
+    if (!timedOut.wasCarriedOut && m_phase == ActionPhase::Dispatched)
+        m_mayHaveRun = m_mayHaveRunBefore;
+    auto repair = m_isClaimCommitted ? voidForOwnClaim() : voidForLateClaim();
+    return answerUnknown(ResultCode::DeadlineExceeded, repair);
 }
 
 } // namespace jacinthspindle
--- a/src/core/ActionSteps.cpp
+++ b/src/core/ActionSteps.cpp
@@ -151,6 +151,16 @@
     return write;
 }
 
+// The write that frees a claim which was not dispatched.
+std::optional<WriteRow> ActionMachine::voidForOwnClaim() const
+{
+    if (m_mayHaveRun)
+        return std::nullopt;
+    WriteRow write { m_step, m_rowKey, m_claimVersion, m_claim, {}, 0 };
+    write.row.state = ActionState::Void;
+    return write;
+}
+
 Settlement ActionMachine::settlementOfUnknown() const
 {
     if (!m_mayHaveRun || m_isAbandoned)
