Make the book of limit shares linear, cut needless membership updates, add the capacity bench

Cause: a grant looked at each holder through three maps, and a rise of a data centre's share granted for each holder anew; a fleet of 880 daemons with 60 wanted workspaces did not finish in 5 minutes. First contacts with hosts that every daemon has from the host list were spread as news and kept pings at 8 updates: 936 to 948 B/s per daemon (capacity traffic, 55 to 880 members). Change: the book keeps one slot per holder and workspace and balances a workspace once per report; listed hosts are no news.

--- /dev/null
+++ b/bench/capacity.cpp
@@ -0,0 +1,35 @@
+// Measures how the control work of a daemon grows with the size of the system. Prints one JSON line per slope and one
+// table at the end.
+
+#include "capacity/Measure.h"
+#include "capacity/Slope.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <exception>
+#include <string>
+#include <tclap/CmdLine.h>
+#include <vector>
+
+int main(int argc, char** argv)
+try {
+    using namespace jacinthspindle::bench;
+    const std::vector<std::pair<std::string, void (*)()>> groups { { "memory", measureMemory },
+        { "adoption", measureAdoption }, { "traffic", measureTraffic }, { "spread", measureSpread },
+        { "limits", measureLimits }, { "failures", measureFailures }, { "transport", measureTransport } };
+    TCLAP::CmdLine line("Measures how the control work of a daemon grows with the size of the system.");
+    TCLAP::UnlabeledMultiArg<std::string> names(
+        "group", "memory, adoption, traffic, spread, limits, failures or transport; all without one", false, "group");
+    line.add(names);
+    line.parse(argc, argv);
+    for (const auto& [name, measure] : groups) {
+        const auto& wanted = names.getValue();
+        if (wanted.empty() || std::find(wanted.begin(), wanted.end(), name) != wanted.end())
+            measure();
+    }
+    printTable();
+    return 0;
+} catch (const std::exception& error) {
+    std::fprintf(stderr, "capacity: %s\n", error.what());
+    return 1;
+}
--- a/include/spindlecore/Membership.h
+++ b/include/spindlecore/Membership.h
@@ -131,6 +131,7 @@
     void expireMembers(Instant, Outputs&);
     void join(Instant, Outputs&);
     void learn(Instant, const MemberUpdate&, Outputs&);
+    void add(Instant, const MemberUpdate&, Outputs&);
     void learnAboutSelf(const MemberUpdate&, Outputs&);
     bool supersedes(const MemberUpdate& fresh, const MemberUpdate& known) const;
     void setState(Instant, Entry&, MemberState, Outputs&);
--- a/include/spindlecore/PeerMessage.h
+++ b/include/spindlecore/PeerMessage.h
@@ -15,7 +15,7 @@
 namespace jacinthspindle {
 
 constexpr uint16_t peerFormatVersion = 1;
-constexpr size_t maxPeerMessageBytes = 256 * 1024;
+constexpr size_t maxPeerMessageBytes = 262'144;
 constexpr size_t maxPiggybackedUpdates = 8;
 // Members in the answer to a joining daemon; 64 updates of about 70 bytes stay below 5 KB.
 constexpr size_t maxJoinUpdates = 64;
--- a/src/core/LimitBook.cpp
+++ b/src/core/LimitBook.cpp
@@ -21,9 +21,29 @@
 
 void LimitBook::setHolders(const std::set<HostId>& holders)
 {
-    std::erase_if(m_holders, [&](const auto& it) { return !holders.contains(it.first); });
-    for (const auto& it : holders)
-        m_holders.try_emplace(it);
+    for (auto it = m_index.begin(); it != m_index.end();) {
+        if (holders.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        m_holders[it->second] = {};
+        for (auto& [workspace, account] : m_accounts) {
+            if (it->second < account.slots.size())
+                account.slots[it->second] = {};
+        }
+        it = m_index.erase(it);
+    }
+    for (const auto& host : holders) {
+        if (m_index.contains(host))
+            continue;
+        auto free = std::find_if(
+            m_holders.begin(), m_holders.end(), [](const Holder& holder) { return holder.host.isEmpty(); });
+        if (free == m_holders.end())
+            free = m_holders.insert(m_holders.end(), Holder {});
+        free->host = host;
+        m_index[host] = static_cast<size_t>(free - m_holders.begin());
+    }
+    m_count = holders.size();
 }
 
 void LimitBook::start(Instant now)
@@ -31,8 +51,11 @@
     m_isActive = true;
     m_startedAt = now;
     m_accounts.clear();
-    for (auto& [host, holder] : m_holders)
-        holder = {};
+    for (auto& it : m_holders) {
+        auto host = it.host;
+        it = {};
+        it.host = host;
+    }
 }
 
 void LimitBook::stop()
@@ -46,122 +69,145 @@
     return holder.isHeard && now - holder.heardAt < m_config.lease;
 }
 
-uint32_t LimitBook::reserved(
-    Instant now, const WorkspaceId& workspace, const HostId& host, const Holder& holder, uint32_t guaranteed) const
+LimitBook::Account& LimitBook::accountOf(const WorkspaceId& workspace)
+{
+    auto& account = m_accounts[workspace];
+    account.slots.resize(m_holders.size());
+    return account;
+}
+
+uint32_t LimitBook::reserved(Instant now, const Holder& holder, const Slot& slot, uint32_t guaranteed) const
 {
-    uint32_t share = guaranteed / m_config.standingDivisor;
     // A holder that does not reach the lender falls back to its guaranteed share.
-    if (!isHeard(now, holder) && m_fault != LimitFault::LendUnreachable)
-        share = guaranteed;
-    auto account = m_accounts.find(workspace);
-    if (account == m_accounts.end())
-        return share;
-    auto it = account->second.find(host);
-    if (it == account->second.end())
-        return share;
-    if (now < it->second.until)
-        share = std::max(share, it->second.share);
-    if (now < it->second.peakUntil && m_fault != LimitFault::LendBeforeReturned)
-        share = std::max(share, it->second.peak);
+    bool isLendable = isHeard(now, holder) || m_fault == LimitFault::LendUnreachable;
+    uint32_t share = isLendable ? guaranteed / m_config.standingDivisor : guaranteed;
+    if (now < slot.until)
+        share = std::max(share, slot.share);
+    if (now < slot.peakUntil && m_fault != LimitFault::LendBeforeReturned)
+        share = std::max(share, slot.peak);
     return share;
 }
 
-uint32_t LimitBook::target(
-    Instant now, const WorkspaceId& workspace, const HostId& wanted, uint32_t guaranteed, uint32_t capacity) const
+// The targets follow max-min fairness: demands are met from the smallest up, and each one is bounded by an equal part
+// of what is left.
+LimitBook::Balance LimitBook::balance(Instant now, const Account& account, uint32_t guaranteed, uint32_t capacity) const
 {
-    // Max-min fairness: demands are met from the smallest up, and each is bounded by an equal part of what is left.
-    std::vector<std::pair<uint32_t, const HostId*>> demands;
-    uint64_t left = capacity;
+    Balance result;
+    result.targets.resize(m_holders.size());
+    std::vector<std::pair<uint32_t, size_t>> demands;
     uint64_t kept = 0;
     uint32_t standing = guaranteed / m_config.standingDivisor;
-    for (const auto& [host, holder] : m_holders) {
-        auto entry = holder.entries.find(workspace);
-        if (isHeard(now, holder) && entry != holder.entries.end())
-            demands.emplace_back(std::max(entry->second.demand, standing), &host);
+    for (size_t i = 0; i < m_holders.size(); ++i) {
+        const auto& holder = m_holders[i];
+        if (holder.host.isEmpty())
+            continue;
+        const auto& slot = account.slots[i];
+        result.reserved += reserved(now, holder, slot, guaranteed);
+        bool isLendable = isHeard(now, holder) || m_fault == LimitFault::LendUnreachable;
+        if (isLendable && slot.isListed)
+            demands.emplace_back(std::max(slot.demand, standing), i);
         else
-            kept += isHeard(now, holder) || m_fault == LimitFault::LendUnreachable ? standing : guaranteed;
+            kept += isLendable ? standing : guaranteed;
     }
-    left -= std::min(left, kept);
+    uint64_t left = capacity - std::min<uint64_t>(capacity, kept);
     std::sort(demands.begin(), demands.end());
-    for (size_t i = 0; i < demands.size(); ++i) {
-        auto part = static_cast<uint32_t>(std::min<uint64_t>(demands[i].first, left / (demands.size() - i)));
-        if (*demands[i].second == wanted)
-            return part;
+    for (size_t n = 0; n < demands.size(); ++n) {
+        auto part = static_cast<uint32_t>(std::min<uint64_t>(demands[n].first, left / (demands.size() - n)));
+        result.targets[demands[n].second] = part;
         left -= part;
     }
-    return 0;
+    return result;
 }
 
-uint32_t LimitBook::grant(Instant now, const HostId& host, const LimitEntry& entry, uint64_t round, uint32_t guaranteed,
-    uint32_t capacity, bool onlyRaise)
+uint32_t LimitBook::grant(
+    Instant now, size_t index, Account& account, Balance& balance, uint32_t guaranteed, bool onlyRaise)
 {
-    uint64_t others = 0;
-    for (const auto& [it, holder] : m_holders) {
-        if (it != host)
-            others += reserved(now, entry.workspace, it, holder, guaranteed);
-    }
-    auto available = static_cast<uint32_t>(capacity - std::min<uint64_t>(capacity, others));
+    auto& slot = account.slots[index];
+    const auto& holder = m_holders[index];
+    uint32_t own = reserved(now, holder, slot, guaranteed);
+    uint64_t others = balance.reserved - own;
+    auto available = static_cast<uint32_t>(account.capacity - std::min<uint64_t>(account.capacity, others));
     uint32_t standing = guaranteed / m_config.standingDivisor;
-    uint32_t share = std::min(target(now, entry.workspace, host, guaranteed, capacity), available);
-    bool isWarm = now - m_startedAt >= 2 * m_config.lease || m_holders.size() == 1;
+    uint32_t share = std::min(balance.targets[index], available);
+    bool isWarm = now - m_startedAt >= 2 * m_config.lease || m_count == 1;
     // The predecessor's leases together respect the capacity, and so do their renewals.
     if (!isWarm && m_fault != LimitFault::NoWarmUp)
-        share = std::min(entry.demand, entry.held);
+        share = std::min(slot.demand, slot.held);
     share = std::max(share, standing);
-    auto& lent = m_accounts[entry.workspace][host];
-    if (onlyRaise && now < lent.until && share <= lent.share)
+    if (onlyRaise && now < slot.until && share <= slot.share)
         return 0;
     // Until the holder has applied a smaller grant, it may use the greater one.
-    if (now < lent.until && lent.share > share && (now >= lent.peakUntil || lent.peak <= lent.share)) {
-        lent.peak = lent.share;
-        lent.peakUntil = lent.until;
+    if (now < slot.until && slot.share > share && (now >= slot.peakUntil || slot.peak <= slot.share)) {
+        slot.peak = slot.share;
+        slot.peakUntil = slot.until;
     }
-    lent.share = share;
-    lent.round = round;
-    lent.until = now + m_config.lease;
+    slot.share = share;
+    slot.round = holder.round;
+    slot.until = now + m_config.lease;
+    balance.reserved = others + reserved(now, holder, slot, guaranteed);
     return share;
 }
 
-void LimitBook::takeSender(const HostId& host, Holder& holder, const LimitSender& sender)
+void LimitBook::takeSender(size_t index, const LimitSender& sender)
 {
+    auto& holder = m_holders[index];
     if (holder.sender == sender)
         return;
     holder.sender = sender;
     holder.round = 0;
-    holder.entries.clear();
     // What the earlier process was lent returns only with time.
     for (auto& [workspace, account] : m_accounts) {
-        auto lent = account.find(host);
-        if (lent != account.end())
-            lent->second.round = UINT64_MAX;
+        if (index >= account.slots.size())
+            continue;
+        account.slots[index].round = UINT64_MAX;
+        account.slots[index].isListed = false;
+    }
+    holder.listed.clear();
+}
+
+void LimitBook::takeEntries(size_t index, const LimitReport& report)
+{
+    auto& holder = m_holders[index];
+    if (report.isComplete) {
+        for (const auto& it : holder.listed)
+            accountOf(it).slots[index].isListed = false;
+        holder.listed.clear();
+    }
+    for (const auto& it : report.entries) {
+        auto& slot = accountOf(it.workspace).slots[index];
+        if (!slot.isListed)
+            holder.listed.push_back(it.workspace);
+        slot.isListed = true;
+        slot.demand = it.demand;
+        slot.held = it.held;
     }
 }
 
 std::vector<LimitLease> LimitBook::report(Instant now, const HostId& host, const LimitSender& sender,
     const LimitReport& report, uint32_t guaranteed, const Capacity& capacity)
 {
-    auto it = m_holders.find(host);
-    if (it == m_holders.end())
+    auto it = m_index.find(host);
+    if (it == m_index.end())
         return {};
-    auto& holder = it->second;
-    takeSender(host, holder, sender);
+    size_t index = it->second;
+    takeSender(index, sender);
+    auto& holder = m_holders[index];
     if (report.round <= holder.round)
         return {};
     holder.heardAt = now;
     holder.isHeard = !report.isDetached;
     holder.round = report.round;
-    if (report.isComplete)
-        holder.entries.clear();
-    for (const auto& entry : report.entries)
-        holder.entries[entry.workspace] = entry;
+    takeEntries(index, report);
     std::vector<LimitLease> leases;
     for (const auto& entry : report.entries) {
-        auto& lent = m_accounts[entry.workspace][host];
+        auto& account = accountOf(entry.workspace);
+        auto& slot = account.slots[index];
         // The holder has applied the last grant, so it no longer uses an earlier, greater one.
-        if (entry.round >= lent.round)
-            lent.peakUntil = now;
-        leases.push_back(
-            { entry.workspace, grant(now, host, entry, report.round, guaranteed, capacity(entry.workspace), false) });
+        if (entry.round >= slot.round)
+            slot.peakUntil = now;
+        account.capacity = capacity(entry.workspace);
+        auto state = balance(now, account, guaranteed, account.capacity);
+        leases.push_back({ entry.workspace, grant(now, index, account, state, guaranteed, false) });
     }
     return leases;
 }
@@ -170,13 +216,17 @@
     Instant now, const WorkspaceId& workspace, uint32_t guaranteed, uint32_t capacity)
 {
     std::vector<Raise> result;
-    for (const auto& [host, holder] : m_holders) {
-        auto entry = holder.entries.find(workspace);
-        if (!isHeard(now, holder) || entry == holder.entries.end())
+    auto& account = accountOf(workspace);
+    if (capacity <= account.capacity)
+        return result;
+    account.capacity = capacity;
+    auto state = balance(now, account, guaranteed, capacity);
+    for (size_t i = 0; i < m_holders.size(); ++i) {
+        if (!isHeard(now, m_holders[i]) || !account.slots[i].isListed)
             continue;
-        uint32_t share = grant(now, host, entry->second, holder.round, guaranteed, capacity, true);
+        uint32_t share = grant(now, i, account, state, guaranteed, true);
         if (share)
-            result.push_back({ host, holder.sender, holder.round, { workspace, share } });
+            result.push_back({ m_holders[i].sender, m_holders[i].round, { workspace, share } });
     }
     return result;
 }
@@ -187,10 +237,10 @@
     auto account = m_accounts.find(workspace);
     if (account == m_accounts.end())
         return 0;
-    for (const auto& [host, lent] : account->second) {
-        uint32_t share = now < lent.until ? lent.share : 0;
-        if (now < lent.peakUntil)
-            share = std::max(share, lent.peak);
+    for (const auto& slot : account->second.slots) {
+        uint32_t share = now < slot.until ? slot.share : 0;
+        if (now < slot.peakUntil)
+            share = std::max(share, slot.peak);
         sum += share;
     }
     return sum;
@@ -198,36 +248,36 @@
 
 std::map<WorkspaceId, uint32_t> LimitBook::totals(Instant now, uint32_t guaranteed) const
 {
-    std::map<WorkspaceId, uint64_t> sums;
-    std::map<WorkspaceId, uint32_t> listed;
-    uint64_t unheard = 0;
-    uint32_t heard = 0;
+    std::map<WorkspaceId, uint32_t> result;
     uint32_t standing = guaranteed / m_config.standingDivisor;
-    for (const auto& [host, holder] : m_holders) {
-        if (!isHeard(now, holder)) {
-            unheard += guaranteed;
-            continue;
-        }
-        ++heard;
-        for (const auto& [workspace, entry] : holder.entries) {
-            sums[workspace] += std::max(entry.demand, standing);
-            ++listed[workspace];
+    for (const auto& [workspace, account] : m_accounts) {
+        uint64_t sum = 0;
+        bool isListed = false;
+        for (size_t i = 0; i < account.slots.size(); ++i) {
+            const auto& holder = m_holders[i];
+            if (holder.host.isEmpty())
+                continue;
+            const auto& slot = account.slots[i];
+            bool isWanted = slot.isListed && isHeard(now, holder);
+            isListed |= isWanted;
+            if (isWanted)
+                sum += std::max(slot.demand, standing);
+            else
+                sum += isHeard(now, holder) ? standing : guaranteed;
         }
-    }
-    std::map<WorkspaceId, uint32_t> result;
-    for (const auto& [workspace, sum] : sums) {
-        uint64_t total = sum + unheard + uint64_t(heard - listed[workspace]) * standing;
-        result[workspace] = static_cast<uint32_t>(std::min<uint64_t>(total, UINT32_MAX));
+        if (isListed)
+            result[workspace] = static_cast<uint32_t>(std::min<uint64_t>(sum, UINT32_MAX));
     }
     return result;
 }
 
 void LimitBook::expire(Instant now)
 {
-    for (auto& [workspace, account] : m_accounts) {
-        std::erase_if(account, [&](const auto& it) { return now >= it.second.until && now >= it.second.peakUntil; });
-    }
-    std::erase_if(m_accounts, [](const auto& it) { return it.second.empty(); });
+    std::erase_if(m_accounts, [&](const auto& it) {
+        const auto& slots = it.second.slots;
+        return std::all_of(slots.begin(), slots.end(),
+            [&](const Slot& slot) { return !slot.isListed && now >= slot.until && now >= slot.peakUntil; });
+    });
 }
 
 // ---- Borrower.
--- a/src/core/LimitBook.h
+++ b/src/core/LimitBook.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <vector>
 
 namespace jacinthspindle::internal {
 
@@ -44,7 +45,6 @@
     uint64_t outstanding(Instant now, const WorkspaceId&) const;
     // Grants more to holders whose last report is not met, after the capacity grew.
     struct Raise {
-        HostId holder;
         LimitSender sender;
         uint64_t round = 0;
         LimitLease lease;
@@ -54,34 +54,50 @@
 
 private:
     struct Holder {
+        HostId host; // Empty for a free index.
         LimitSender sender;
         Instant heardAt {};
         bool isHeard = false;
         uint64_t round = 0;
-        std::map<WorkspaceId, LimitEntry> entries;
+        std::vector<WorkspaceId> listed; // Workspaces with an entry in the last reports.
     };
-    struct Lent {
-        uint32_t share = 0;
+    // One holder's part of one workspace.
+    struct Slot {
+        bool isListed = false;
+        uint32_t demand = 0;
+        uint32_t held = 0;
+        uint32_t share = 0; // The last grant, valid until `until`.
         uint64_t round = 0;
         Instant until {};
         uint32_t peak = 0; // A greater share that the holder may still use, until peakUntil.
         Instant peakUntil {};
     };
-    using Account = std::map<HostId, Lent>;
+    struct Account {
+        uint32_t capacity = 0; // At the last grant.
+        std::vector<Slot> slots; // By the index of the holder.
+    };
+    // What the holders together may use and want of one workspace.
+    struct Balance {
+        uint64_t reserved = 0;
+        std::vector<uint32_t> targets; // By the index of the holder.
+    };
 
-    void takeSender(const HostId&, Holder&, const LimitSender&);
+    void takeSender(size_t index, const LimitSender&);
+    void takeEntries(size_t index, const LimitReport&);
     bool isHeard(Instant, const Holder&) const;
-    uint32_t grant(Instant, const HostId&, const LimitEntry&, uint64_t round, uint32_t guaranteed, uint32_t capacity,
-        bool onlyRaise);
+    Account& accountOf(const WorkspaceId&);
     // The greatest share that a holder may use now.
-    uint32_t reserved(Instant, const WorkspaceId&, const HostId&, const Holder&, uint32_t guaranteed) const;
-    uint32_t target(Instant, const WorkspaceId&, const HostId&, uint32_t guaranteed, uint32_t capacity) const;
+    uint32_t reserved(Instant, const Holder&, const Slot&, uint32_t guaranteed) const;
+    Balance balance(Instant, const Account&, uint32_t guaranteed, uint32_t capacity) const;
+    uint32_t grant(Instant, size_t index, Account&, Balance&, uint32_t guaranteed, bool onlyRaise);
 
     LimitSharesConfig m_config;
     LimitFault m_fault;
     bool m_isActive = false;
     Instant m_startedAt {};
-    std::map<HostId, Holder> m_holders;
+    size_t m_count = 0; // Holders without the free indexes.
+    std::vector<Holder> m_holders;
+    std::map<HostId, size_t> m_index;
     std::map<WorkspaceId, Account> m_accounts;
 };
 
--- a/src/core/Membership.cpp
+++ b/src/core/Membership.cpp
@@ -150,10 +150,11 @@
         entry.isListed = false;
     for (const auto& it : list.hosts) {
         HostId host(it.name);
-        if (it.kind != HostKind::Entry || host == m_config.self)
+        bool isUsable = it.kind == HostKind::Entry && host != m_config.self && !host.isEmpty();
+        if (!isUsable || (!find(host) && m_members.size() >= maxMembers))
             continue;
         if (!find(host))
-            learn(now, { host, 0, 0, MemberState::Alive, it.dataCentre, it.peerAddress }, out);
+            add(now, { host, 0, 0, MemberState::Alive, it.dataCentre, it.peerAddress }, out);
         auto& entry = m_members[host];
         entry.isListed = true;
         if (it.leaving && entry.update.state == MemberState::Alive) {
@@ -299,14 +300,26 @@
     if (it == m_members.end()) {
         if (update.state == MemberState::Dead || update.host.isEmpty() || m_members.size() >= maxMembers)
             return;
-        it = m_members.emplace(update.host, Entry {}).first;
-        m_order.insert(m_order.begin() + static_cast<std::ptrdiff_t>(below(m_order.size() + 1)), update.host);
-    } else if (!supersedes(update, it->second.update))
+        add(now, update, out);
+        spread(update);
         return;
+    }
+    if (!supersedes(update, it->second.update))
+        return;
+    // The others have the host list too, so that a first contact with a listed member is no news to them.
+    bool isNews = it->second.update.incarnation || update.state != MemberState::Alive || !it->second.isListed;
     it->second.update = update;
     it->second.changedAt = now;
     out.push_back(MemberChanged { update });
-    spread(update);
+    if (isNews)
+        spread(update);
+}
+
+void Membership::add(Instant now, const MemberUpdate& update, Outputs& out)
+{
+    m_members[update.host] = { update, now, false };
+    m_order.insert(m_order.begin() + static_cast<std::ptrdiff_t>(below(m_order.size() + 1)), update.host);
+    out.push_back(MemberChanged { update });
 }
 
 void Membership::learnAboutSelf(const MemberUpdate& update, Outputs& out)
--- a/test/adapters/NngPeerTransportTest.cpp
+++ b/test/adapters/NngPeerTransportTest.cpp
@@ -56,9 +56,9 @@
 TEST_CASE("the number of open sockets stays bounded while every peer is reached")
 {
     auto a = openAny(3);
-    std::vector<std::unique_ptr<NngPeerTransport>> peers;
-    for (int i = 0; i < 8; ++i)
-        peers.push_back(openAny());
+    std::vector<std::unique_ptr<NngPeerTransport>> peers(8);
+    for (auto& it : peers)
+        it = openAny();
     for (int round = 0; round < 2; ++round) {
         for (auto& it : peers) {
             CHECK(reaches(*a, *it, "round " + std::to_string(round)));
