--- a/src/daemon/HttpFront.cpp
+++ b/src/daemon/HttpFront.cpp
@@ -45,12 +45,15 @@
 
     bool bind(const SocketAddress& address, Reason& reason)
     {
-        if (m_server.bind(address.ip, address.port))
+        m_port = m_server.bind(address.ip, address.port);
+        if (m_port)
             return true;
         reason = { ResultCode::SettingsInvalid, "cannot listen on " + address.ip + ":" + std::to_string(address.port) };
         return false;
     }
 
+    uint16_t port() const { return m_port; }
+
     void start()
     {
         m_thread = std::thread([this] { m_server.listen_after_bind(); });
@@ -189,6 +192,7 @@
     CompletionHandler m_completions;
     ServiceHandler m_services;
     TrafficServer m_server;
+    uint16_t m_port = 0;
     std::thread m_thread;
 };
 
@@ -207,6 +211,11 @@
     return m_impl->bind(address, reason);
 }
 
+uint16_t HttpFront::port() const
+{
+    return m_impl->port();
+}
+
 void HttpFront::start()
 {
     m_impl->start();
--- a/src/daemon/HttpFront.h
+++ b/src/daemon/HttpFront.h
@@ -33,8 +33,10 @@
     HttpFront(const HttpFront&) = delete;
     HttpFront& operator=(const HttpFront&) = delete;
 
-    // Returns false and sets the reason (SettingsInvalid) when the address cannot be listened on.
+    // Returns false and sets the reason (SettingsInvalid) when the address cannot be listened on. Port 0 picks a free
+    // one.
     bool bind(const SocketAddress&, Reason&);
+    uint16_t port() const;
     // Serves on threads of its own.
     void start();
     // Accepts no new connection and returns when all requests in progress have ended.
--- a/src/daemon/TrafficServer.cpp
+++ b/src/daemon/TrafficServer.cpp
@@ -32,11 +32,16 @@
     new_task_queue = [limits] { return new BoundedTaskQueue(limits.threads, limits.connectionQueue); };
 }
 
-bool TrafficServer::bind(const std::string& ip, uint16_t port)
+uint16_t TrafficServer::bind(const std::string& ip, uint16_t port)
 {
-    if (!bind_to_port(ip, port))
-        return false;
-    return ::listen(svr_sock_, acceptBacklog) == 0;
+    int bound = port;
+    if (port == 0)
+        bound = bind_to_any_port(ip);
+    else if (!bind_to_port(ip, port))
+        return 0;
+    if (bound <= 0 || ::listen(svr_sock_, acceptBacklog) != 0)
+        return 0;
+    return static_cast<uint16_t>(bound);
 }
 
 // Returns whether the first byte of a request has arrived.
--- a/src/daemon/TrafficServer.h
+++ b/src/daemon/TrafficServer.h
@@ -26,8 +26,8 @@
 public:
     explicit TrafficServer(const TrafficServerLimits&);
 
-    // Binds and listens. Returns false when the address cannot be used.
-    bool bind(const std::string& ip, uint16_t port);
+    // Binds and listens; port 0 picks a free one. Returns the port, or 0 when the address cannot be used.
+    uint16_t bind(const std::string& ip, uint16_t port);
     // Connections are closed after the request that they carry.
     void closeAfterRequests() { m_isClosing = true; }
 
--- a/test/adapters/TraceRecorderTest.cpp
+++ b/test/adapters/TraceRecorderTest.cpp
@@ -2,9 +2,9 @@
 
 #include "daemon/TraceRecorder.h"
 #include "spindleadapters/TraceCodec.h"
+#include "support/FakePlatform.h"
 
 #include <doctest/doctest.h>
-#include <map>
 #include <thread>
 
 using namespace jacinthspindle;
@@ -35,25 +35,6 @@
     }
 };
 
-// Keeps what it is given, and fails while told to.
-class MemoryStore final : public ObjectStore {
-public:
-    bool put(const std::string& name, const std::string& bytes, std::chrono::milliseconds) override
-    {
-        if (isDown)
-            return false;
-        objects[name] = bytes;
-        return true;
-    }
-    std::optional<std::string> get(const std::string&, std::chrono::milliseconds) override { return std::nullopt; }
-    std::optional<std::vector<std::string>> list(const std::string&, std::chrono::milliseconds) override
-    {
-        return std::nullopt;
-    }
-    std::map<std::string, std::string> objects;
-    bool isDown = false;
-};
-
 } // namespace
 
 TEST_CASE_FIXTURE(RecorderFixture, "records are numbered without gaps and logical time rises past what was observed")
@@ -139,7 +120,7 @@
 
 TEST_CASE_FIXTURE(RecorderFixture, "the flusher stores every record under its first number, also after an outage")
 {
-    MemoryStore store;
+    test::FakeObjectStore store;
     store.isDown = true;
     TraceFlusher flusher(recorder, store, metrics, 256);
     flusher.start();
