--- a/src/standins/EngineStandin.cpp
+++ b/src/standins/EngineStandin.cpp
@@ -3,9 +3,9 @@
 #include "standins/EngineStandin.h"
 
 #include "spindlecore/internal/Digest.h"
+#include "standins/TokenText.h"
 
 #include <algorithm>
-#include <array>
 
 namespace jacinthspindle::standins {
 
@@ -14,10 +14,26 @@
     using Monotonic = std::chrono::steady_clock;
 
     constexpr size_t maxCachedPrefixes = 64;
-    constexpr size_t cacheBlockBytes = 256;
     constexpr milliseconds sleepStep { 10 };
-    // A stage reports a silent successor itself, before the daemon's stall limit would blame the whole chain.
-    constexpr milliseconds nextStageStallLimit { 700 };
+    // A stage reports a silent successor before the stage in front of it, and long before the daemon's stall limit, so
+    // that the fault line names the right one.
+    constexpr milliseconds lastStageStallLimit { 400 };
+    constexpr milliseconds stallLimitPerStage { 100 };
+    constexpr size_t cacheBlockBytes = 256;
+    constexpr size_t maxCacheBlocks = 64;
+
+    // Digests of the prompt's first 1, 2, ... blocks, chained as the daemons compute them.
+    std::vector<uint64_t> blockDigests(const std::string& prompt)
+    {
+        std::vector<uint64_t> digests;
+        std::string chained;
+        for (size_t i = 0; i < std::min(prompt.size() / cacheBlockBytes, maxCacheBlocks); ++i) {
+            chained += prompt.substr(i * cacheBlockBytes, cacheBlockBytes);
+            digests.push_back(internal::sha256Prefix64(chained));
+            chained = std::to_string(digests.back()) + ":";
+        }
+        return digests;
+    }
 
     std::string streamName(const RequestId& request, uint32_t attempt)
     {
@@ -31,17 +47,6 @@
 
 } // namespace
 
-std::string tokenText(const GenerationCall& call, uint32_t position)
-{
-    static constexpr std::array<const char*, 16> words { "bunting", "canopy", "flag", "string", "school", "lesson",
-        "teacher", "lantern", "festival", "garden", "river", "market", "drum", "harvest", "morning", "bridge" };
-    internal::DigestVisitor visitor;
-    visitor(call.prompt, call.seed, call.model, call.version, call.adapter, position);
-    auto number = internal::sha256Prefix64(visitor.hexDigest());
-    return std::string(position ? " " : "") + words[number % words.size()]
-        + std::to_string(number / words.size() % 100);
-}
-
 struct EngineStandin::Stream {
     GenerationCall call;
     std::string name;
@@ -172,7 +177,7 @@
             isCallerGone = !deliver(stream, event);
             return isCallerGone ? TokenVerdict::Stop : TokenVerdict::Continue;
         },
-        nextStageStallLimit);
+        lastStageStallLimit + stallLimitPerStage * rest.chain.size());
     if (end.outcome == GenerationOutcome::Complete)
         return true;
     if (isCallerGone || m_server.isDown())
@@ -315,16 +320,17 @@
 
 void EngineStandin::noteCached(const GenerationCall& call)
 {
-    auto digest = internal::sha256Prefix64(std::string_view(call.prompt).substr(0, cacheBlockBytes));
     std::lock_guard lock(m_mutex);
-    if (std::find(m_cached.begin(), m_cached.end(), digest) != m_cached.end())
-        return;
-    ++m_cacheSequence;
-    if (m_faults.cacheGapEvery && m_cacheSequence % m_faults.cacheGapEvery == 0)
-        return;
-    m_cached.push_back(digest);
-    if (m_cached.size() > maxCachedPrefixes)
-        m_cached.erase(m_cached.begin());
+    for (auto digest : blockDigests(call.prompt)) {
+        if (std::find(m_cached.begin(), m_cached.end(), digest) != m_cached.end())
+            continue;
+        ++m_cacheSequence;
+        if (m_faults.cacheGapEvery && m_cacheSequence % m_faults.cacheGapEvery == 0)
+            continue;
+        m_cached.push_back(digest);
+        if (m_cached.size() > maxCachedPrefixes)
+            m_cached.erase(m_cached.begin());
+    }
 }
 
 // The lock is held.
--- a/src/standins/EngineStandin.h
+++ b/src/standins/EngineStandin.h
@@ -22,10 +22,7 @@
     milliseconds loading { 100 }; // Of a version, an adapter or a role.
 };
 
-// The text is a function of the prompt, seed, model, version, adapter and position alone, so that any chain that
-// regenerates a stream gives the same text. A stream has maxTokens tokens.
-std::string tokenText(const GenerationCall&, uint32_t position);
-
+// A stream has maxTokens tokens of tokenText().
 class EngineStandin final : public Standin {
 public:
     EngineStandin(const EndpointRow&, EnginePace);
--- a/src/standins/ServiceStandin.cpp
+++ b/src/standins/ServiceStandin.cpp
@@ -84,6 +84,10 @@
 void ServiceStandin::handleAction(const httplib::Request& request, httplib::Response& response)
 {
     auto faults = takeFaults();
+    {
+        std::lock_guard lock(m_records->mutex);
+        ++m_records->arrived;
+    }
     if (!m_server.sleep(milliseconds(faults.delayMs)))
         return;
     if (faults.dropCalls)
@@ -142,7 +146,8 @@
         if (action.runs)
             runs[key] = action.runs;
     }
-    return { { "effects", m_records->effects }, { "reads", m_records->reads }, { "runs", std::move(runs) } };
+    return { { "arrived", m_records->arrived }, { "effects", m_records->effects }, { "reads", m_records->reads },
+        { "runs", std::move(runs) } };
 }
 
 } // namespace jacinthspindle::standins
--- a/src/standins/ServiceStandin.h
+++ b/src/standins/ServiceStandin.h
@@ -23,6 +23,7 @@
 
     std::mutex mutex;
     std::map<std::string, Action> actions; // By idempotency key.
+    uint64_t arrived = 0; // Actions that were received, before any delay or effect.
     uint64_t effects = 0;
     uint64_t reads = 0;
 };
