--- a/test/adapters/TraceCodecTest.cpp
+++ b/test/adapters/TraceCodecTest.cpp
@@ -63,3 +63,26 @@
     CHECK_FALSE(decodeInput(std::string("\x92\xcd\xff\xff\x90", 5), reason));
     CHECK(reason.code == ResultCode::TraceMalformed);
 }
+
+TEST_CASE("the settings of the decision core are read back unchanged")
+{
+    CoreConfig config;
+    config.dataCentre = DataCentreId("north");
+    config.seed = UINT64_MAX;
+    Reason reason;
+    auto decoded = decodeConfig(encodeConfig(config), reason);
+    REQUIRE_MESSAGE(decoded, reason.text);
+    CHECK(*decoded == config);
+}
+
+TEST_CASE("a share of whole numbers is read back; the packer stores whole floating-point numbers as integers")
+{
+    for (double rate : { 0.0, 10.0, 2.5, -3.0 }) {
+        CAPTURE(rate);
+        Reason reason;
+        auto input = decodeInput(encodeInput(ShareChanged { WorkspaceId("school"), rate, 1e18, 0.25 }), reason);
+        REQUIRE_MESSAGE(input, reason.text);
+        CHECK(std::get<ShareChanged>(*input).requestsPerSecond == rate);
+        CHECK(std::get<ShareChanged>(*input).tokensPerSecond == 1e18);
+    }
+}
