--- a/include/spindlecore/LimitShares.h
+++ b/include/spindlecore/LimitShares.h
@@ -33,6 +33,7 @@
     DataCentreId dataCentre;
     std::string address;
     bool isReachable = false; // Alive or leaving; members that are suspect or dead keep their guaranteed share.
+    bool operator==(const LimitMember&) const = default;
     JACINTHSPINDLE_FIELDS(self.host, self.dataCentre, self.address, self.isReachable)
 };
 
--- a/src/core/LimitState.h
+++ b/src/core/LimitState.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "LimitBook.h"
+#include "spindlecore/Membership.h"
 #include "spindlecore/internal/Digest.h"
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <unordered_map>
 
 namespace jacinthspindle {
 
@@ -73,6 +75,9 @@
 
     void on(Instant now, const LimitMembers& input, Outputs& out)
     {
+        // Most changes of members, such as a refutation, do not matter here.
+        if (isSame(input.members))
+            return;
         members.clear();
         dataCentres = { config.dataCentre };
         std::set<HostId> local { config.self };
@@ -94,6 +99,28 @@
         emitAll(now, out);
     }
 
+    bool isSame(const std::vector<LimitMember>& fresh) const
+    {
+        if (fresh.size() != members.size() || groups.front().own.lender == std::nullopt)
+            return false;
+        return std::all_of(fresh.begin(), fresh.end(), [&](const LimitMember& it) {
+            auto known = members.find(it.host);
+            return known != members.end() && known->second == it;
+        });
+    }
+
+    // The digest for rendezvous hashing, from a cache that is emptied when it grows beyond all hosts in use.
+    uint64_t weight(uint32_t index, const std::string& name)
+    {
+        auto key = std::to_string(index) + "/" + name;
+        auto it = weights.find(key);
+        if (it != weights.end())
+            return it->second;
+        if (weights.size() >= maxMembers * config.groups)
+            weights.clear();
+        return weights[key] = internal::sha256Prefix64("limits/" + key);
+    }
+
     void chooseLenders(Instant now, uint32_t index)
     {
         auto& group = groups[index];
@@ -106,9 +133,9 @@
         DataCentreId top;
         uint64_t greatest = 0;
         for (const auto& it : reachable) {
-            auto weight = internal::sha256Prefix64("limits/" + std::to_string(index) + "/dc/" + it.value());
-            if (weight >= greatest) {
-                greatest = weight;
+            auto digest = weight(index, "dc/" + it.value());
+            if (digest >= greatest) {
+                greatest = digest;
                 top = it;
             }
         }
@@ -127,14 +154,14 @@
             book.stop();
     }
 
-    HostId coordinator(uint32_t index, const DataCentreId& dataCentre) const
+    HostId coordinator(uint32_t index, const DataCentreId& dataCentre)
     {
         HostId result;
         uint64_t greatest = 0;
         auto consider = [&](const HostId& host) {
-            auto weight = internal::sha256Prefix64("limits/" + std::to_string(index) + "/" + host.value());
-            if (weight >= greatest) {
-                greatest = weight;
+            auto digest = weight(index, host.value());
+            if (digest >= greatest) {
+                greatest = digest;
                 result = host;
             }
         };
@@ -304,6 +331,7 @@
 
     LimitSharesConfig config;
     std::map<HostId, LimitMember> members;
+    std::unordered_map<std::string, uint64_t> weights;
     std::set<DataCentreId> dataCentres;
     uint32_t localCount = 1; // Known daemons of this data centre, with this one.
     std::map<WorkspaceId, Workspace> workspaces; // Those with a limit.
--- a/src/core/TableReplica.cpp
+++ b/src/core/TableReplica.cpp
@@ -266,6 +266,15 @@
 
 void TableReplica::on(Instant, const ReplicaMembers& input, Outputs&)
 {
+    // Most changes of members, such as a refutation, do not matter here.
+    bool isSame = input.members.size() == m_members.size()
+        && std::all_of(input.members.begin(), input.members.end(), [&](const MemberUpdate& it) {
+               const auto* known = findMember(it.host);
+               return known && isLive(*known) == isLive(it) && known->address == it.address
+                   && known->dataCentre == it.dataCentre;
+           });
+    if (isSame)
+        return;
     m_members.clear();
     for (const auto& it : input.members)
         m_members.emplace(it.host, it);
