Let the answer of an action count more than its completed request

Cause: a replayed action showed as complete, whatever its machine answered. Change: the precedence of outcomes. Conclusion: stated outcomes of actions name whether they ran.

--- a/include/spindleadapters/Replayer.h
+++ b/include/spindleadapters/Replayer.h
@@ -21,15 +21,16 @@
 };
 
 // How a request ended, by the replayed decisions and the recorded inputs of all daemons that served it.
+// The order is the precedence: what an action's machine answered says more than that its request was completed.
 enum class OutcomeKind : uint8_t {
     Open,
     CallerGone,
     Refused,
     Abandoned,
+    Complete,
     ActionNotRun,
     ActionUnknown,
     ActionRan,
-    Complete
 };
 
 // Returns the name that files of stated outcomes use, for example "complete".
--- a/src/adapters/Replayer.cpp
+++ b/src/adapters/Replayer.cpp
@@ -364,12 +364,12 @@
         return "action-not-run";
     case OutcomeKind::ActionUnknown:
         return "action-unknown";
-    case OutcomeKind::ActionRan:
-        return "action-ran";
     case OutcomeKind::Complete:
+        return "complete";
+    case OutcomeKind::ActionRan:
         break;
     }
-    return "complete";
+    return "action-ran";
 }
 
 std::string RequestOutcome::toString() const
