--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -1,12 +1,12 @@
 // Compares the decision core with baselines under seeded arrival lists and a manual clock.
-// Prints one table per case, or one JSON line per case with --json.
+// Prints one table per case and, with --json, appends one JSON line per case to a file.
 
 #include "policy/Policies.h"
 #include "policy/Run.h"
 #include "policy/Statistics.h"
 
 #include <cstdio>
-#include <iostream>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
 
@@ -65,35 +65,29 @@
     std::printf("\n");
 }
 
-void runOne(
-    const bench::Case& item, bench::User user, const std::vector<std::string>& policies, uint32_t seeds, bool asJson)
+void runOne(const bench::Case& item, bench::User user, const std::vector<std::string>& policies, uint32_t seeds,
+    std::ostream* jsonLines)
 {
-    if (!asJson) {
-        std::printf("\n%s, %s; target: %s\n", item.name.c_str(), bench::userName(user), item.target.c_str());
-        printHead();
-    }
+    std::printf("\n%s, %s; target: %s\n", item.name.c_str(), bench::userName(user), item.target.c_str());
+    printHead();
     nlohmann::json line { { "case", item.name }, { "user", bench::userName(user) }, { "target", item.target },
         { "seeds", seeds } };
     for (const auto& policy : policies) {
         std::vector<bench::Result> results;
         for (uint32_t seed = 1; seed <= seeds; ++seed)
             results.push_back(bench::runCase(item, user, policy, seed));
-        if (!asJson)
-            std::printf("%-18s", policy.c_str());
+        std::printf("%-18s", policy.c_str());
         for (const auto& it : columns) {
             auto summary = summaryOf(results, it.member);
             line["policies"][policy][it.name]
                 = { { "median", summary.median }, { "min", summary.low }, { "max", summary.high } };
-            if (!asJson)
-                std::printf(" %9.3f", summary.median);
-        }
-        if (!asJson) {
-            auto spread = summaryOf(results, &bench::Result::goodputRatio);
-            std::printf("  goodput %.3f-%.3f\n", spread.low, spread.high);
+            std::printf(" %9.3f", summary.median);
         }
+        auto spread = summaryOf(results, &bench::Result::goodputRatio);
+        std::printf("  goodput %.3f-%.3f\n", spread.low, spread.high);
     }
-    if (asJson)
-        std::cout << line.dump() << std::endl;
+    if (jsonLines)
+        *jsonLines << line.dump() << std::endl;
     std::fflush(stdout);
 }
 
@@ -105,7 +99,8 @@
     TCLAP::ValueArg<std::string> user { "u", "user", "Run only this user", false, "", "name", line };
     TCLAP::ValueArg<std::string> policy { "p", "policy", "Run only this policy", false, "", "name", line };
     TCLAP::ValueArg<uint32_t> seeds { "s", "seeds", "Number of seeds per case", false, 5, "count", line };
-    TCLAP::SwitchArg json { "j", "json", "Print JSON lines", line };
+    TCLAP::ValueArg<std::string> json { "j", "json", "Append one JSON line per case to this file", false, "", "path",
+        line };
 };
 
 std::vector<std::string> policiesOf(const bench::Case& item)
@@ -119,6 +114,9 @@
 
 void runAll(Options& options)
 {
+    std::ofstream jsonLines;
+    if (options.json.isSet())
+        jsonLines.open(options.json.getValue(), std::ios::app);
     for (const auto& item : bench::policyCases()) {
         if (item.name.rfind(options.caseName.getValue(), 0) != 0)
             continue;
@@ -126,7 +124,7 @@
             = options.policy.getValue().empty() ? policiesOf(item) : std::vector { options.policy.getValue() };
         for (auto user : { bench::User::Authority, bench::User::TinigKamay }) {
             if (options.user.getValue().empty() || options.user.getValue() == bench::userName(user))
-                runOne(item, user, policies, options.seeds.getValue(), options.json.getValue());
+                runOne(item, user, policies, options.seeds.getValue(), jsonLines.is_open() ? &jsonLines : nullptr);
         }
     }
 }
