--- a/include/spindlecore/TableReplica.h
+++ b/include/spindlecore/TableReplica.h
@@ -16,7 +16,7 @@
 uint64_t tableContentDigest(const Table&);
 // The first 64 bits of a digest in hexadecimal text.
 uint64_t digestPrefix(const std::string& hexDigest);
-TableHead headOf(const Table&, uint64_t content);
+PeerTableHead headOf(const Table&, uint64_t content);
 
 struct TableReplicaConfig {
     HostId self;
@@ -120,7 +120,7 @@
     void apply(Instant now, const ReplicaInput&, std::vector<ReplicaOutput>&);
 
     const std::shared_ptr<const Table>& table() const { return m_table; } // Null until the first adoption.
-    TableHead head() const { return m_head; }
+    PeerTableHead head() const { return m_head; }
     // How old the last confirmation by the platform is, over the best known path.
     std::chrono::milliseconds age(Instant now) const;
     TableStatus status(Instant now) const { return { m_head, age(now) }; }
@@ -140,7 +140,7 @@
     };
     // The members that showed a head.
     struct Vouched {
-        TableHead head;
+        PeerTableHead head;
         std::set<HostId> hosts;
     };
     using Outputs = std::vector<ReplicaOutput>;
@@ -160,8 +160,8 @@
     void push(const std::shared_ptr<const TableDelta>&, const HostId& except, Outputs&);
     void sendChunk(const MemberUpdate&, uint64_t revision, uint32_t chunk, Outputs&);
     void finishSnapshot(Outputs&);
-    void vouch(const HostId&, const TableHead&);
-    bool isVouched(const HostId& from, const TableHead&) const;
+    void vouch(const HostId&, const PeerTableHead&);
+    bool isVouched(const HostId& from, const PeerTableHead&) const;
     void fetch(Instant, Outputs&);
     void poll(Instant, Outputs&);
     void pull(Instant, Outputs&);
@@ -175,11 +175,11 @@
     ReplicaFault m_fault;
     std::mt19937_64 m_random;
     std::shared_ptr<const Table> m_table;
-    TableHead m_head;
+    PeerTableHead m_head;
     std::deque<std::shared_ptr<const TableDelta>> m_changes; // Contiguous; ends at the table's revision.
     std::map<HostId, MemberUpdate> m_members;
     uint32_t m_localMembers = 1; // Live ones of the own data centre, with this daemon.
-    std::map<HostId, TableHead> m_peerHeads; // Last head seen of each live member.
+    std::map<HostId, PeerTableHead> m_peerHeads; // Last head seen of each live member.
     std::deque<Vouched> m_vouched;
     std::optional<Assembly> m_assembly;
     std::shared_ptr<const Table> m_served; // The snapshot that peers fetch in chunks.
--- /dev/null
+++ b/src/core/DecisionCore.cpp
@@ -0,0 +1,31 @@
+// The public face of the decision core.
+
+#include "spindlecore/DecisionCore.h"
+
+#include "spindlecore/internal/CoreState.h"
+
+namespace jacinthspindle {
+
+class DecisionCore::Impl : public internal::CoreState {
+public:
+    using internal::CoreState::CoreState;
+};
+
+DecisionCore::DecisionCore(const CoreConfig& config)
+    : m_impl(std::make_unique<Impl>(config))
+{
+}
+
+DecisionCore::~DecisionCore() = default;
+
+void DecisionCore::apply(Instant now, const CoreInput& input, std::vector<CoreDecision>& decisions)
+{
+    std::visit([&](const auto& it) { m_impl->apply(now, it, decisions); }, input);
+}
+
+CoreStatus DecisionCore::status() const
+{
+    return m_impl->status();
+}
+
+} // namespace jacinthspindle
--- a/src/core/TableSnapshots.cpp
+++ b/src/core/TableSnapshots.cpp
@@ -118,7 +118,7 @@
 void TableReplica::finishSnapshot(Outputs& out)
 {
     auto& assembly = *m_assembly;
-    TableHead head = headOf(assembly.table, assembly.content);
+    PeerTableHead head = headOf(assembly.table, assembly.content);
     if (m_fault != ReplicaFault::AcceptWrongContent && m_fault != ReplicaFault::AdoptPartialSnapshot) {
         // The rows cannot be checked against the chained digest, so another member must vouch for their digest.
         if (!isVouched(assembly.from, head))
@@ -140,7 +140,7 @@
     adopt(table, head.content, out);
 }
 
-void TableReplica::vouch(const HostId& host, const TableHead& head)
+void TableReplica::vouch(const HostId& host, const PeerTableHead& head)
 {
     auto it = std::find_if(m_vouched.begin(), m_vouched.end(), [&](const auto& known) { return known.head == head; });
     if (it == m_vouched.end()) {
@@ -152,7 +152,7 @@
     it->hosts.insert(host);
 }
 
-bool TableReplica::isVouched(const HostId& from, const TableHead& head) const
+bool TableReplica::isVouched(const HostId& from, const PeerTableHead& head) const
 {
     size_t others = 0;
     for (const auto& [host, member] : m_members) {
