--- a/bench/capacity/MeasureState.cpp
+++ b/bench/capacity/MeasureState.cpp
@@ -90,6 +90,26 @@
         return (heapBytes() - before) / megabyte;
     }
 
+    // A decision core with a table and the streams of one daemon at the peak.
+    double decisionHeap(size_t workers)
+    {
+        constexpr size_t streams = 550;
+        auto table = std::make_shared<const Table>(sampleTable(workers, 2700));
+        double before = heapBytes();
+        CoreConfig config;
+        config.dataCentre = dataCentreOf(0);
+        config.host = HostId("entry-0");
+        DecisionCore core(config);
+        std::vector<CoreDecision> out;
+        core.apply(start, TableAdopted { table }, out);
+        for (size_t i = 0; i < streams; ++i) {
+            RequestArrived request { RequestId("request-" + std::to_string(i)), table->workspaces[i].workspace,
+                table->routes[i % 5].route, 400, 300, 0, { i, i + 1, i + 2 }, std::chrono::seconds(30) };
+            core.apply(start, request, out);
+        }
+        return (heapBytes() - before) / megabyte;
+    }
+
     // Processor seconds per run of an action.
     double secondsPer(const std::function<void()>& action)
     {
@@ -126,6 +146,10 @@
     for (size_t n : workspaceSizes)
         workspaces.add(static_cast<double>(n), heapOf(880, 5900, n));
     report(workspaces);
+    auto decisions = slope("decision core memory by workers", "workers", "MB");
+    for (size_t n : workerSizes)
+        decisions.add(static_cast<double>(n), decisionHeap(n));
+    report(decisions);
 }
 
 void measureAdoption()
--- a/src/core/LimitReports.cpp
+++ b/src/core/LimitReports.cpp
@@ -88,6 +88,7 @@
     std::sort(wanted.rbegin(), wanted.rend());
     wanted.resize(std::min<size_t>(wanted.size(), upperEntries()));
     std::vector<LimitEntry> entries;
+    entries.reserve(wanted.size());
     for (const auto& [demand, id] : wanted)
         entries.push_back(upperEntry(now, index, id, demand));
     if (!isUrgent || !entries.empty())
--- a/src/core/TableReplica.cpp
+++ b/src/core/TableReplica.cpp
@@ -129,8 +129,8 @@
         return;
     m_isFetching = true;
     m_fetchLimit = now + fetchTimeout;
-    bool wantsSnapshot
-        = !m_hasTriedSnapshot && (!m_table || m_platformHead.revision - m_head.revision > 4 * changesPerFetch);
+    bool wantsSnapshot = !m_hasTriedSnapshot
+        && (!m_table || m_platformHead.revision - m_head.revision > uint64_t(4) * changesPerFetch);
     if (wantsSnapshot) {
         out.emplace_back(FetchSnapshot {});
         return;
