--- a/include/spindlecore/StreamCursor.h
+++ b/include/spindlecore/StreamCursor.h
@@ -31,9 +31,12 @@
     uint64_t seed = 0;
     std::string version; // Of the model.
     uint64_t logicalTime = 0; // Lamport time of the daemon that wrote the cursor.
+    // That made the token before nextPosition; leads from a caller's event id to the attempt in the time line.
+    uint32_t attempt = 0;
 
     bool operator==(const StreamCursor&) const = default;
-    JACINTHSPINDLE_FIELDS(self.request, self.nextPosition, self.textDigest, self.seed, self.version, self.logicalTime)
+    JACINTHSPINDLE_FIELDS(
+        self.request, self.nextPosition, self.textDigest, self.seed, self.version, self.logicalTime, self.attempt)
 };
 
 // Longest text that parse() looks at, in bytes.
--- a/src/core/StreamCursor.cpp
+++ b/src/core/StreamCursor.cpp
@@ -18,7 +18,7 @@
     // Names the order of the members below; a change of either gets a new number.
     constexpr std::string_view formatTag = "c1";
     constexpr char separator = '.';
-    constexpr size_t fieldCount = 8; // Tag, six members and the authentication code.
+    constexpr size_t fieldCount = 9; // Tag, seven members and the authentication code.
     constexpr size_t digestDigits = 32;
 
     std::string hexNumber(uint64_t value)
@@ -82,9 +82,9 @@
 std::string CursorCodec::format(const StreamCursor& cursor, std::string_view binding) const
 {
     std::string body(formatTag);
-    for (const auto& part :
-        { internal::escape(cursor.request.value()), hexNumber(cursor.nextPosition), cursor.textDigest,
-            hexNumber(cursor.seed), internal::escape(cursor.version), hexNumber(cursor.logicalTime) })
+    for (const auto& part : { internal::escape(cursor.request.value()), hexNumber(cursor.nextPosition),
+             cursor.textDigest, hexNumber(cursor.seed), internal::escape(cursor.version), hexNumber(cursor.logicalTime),
+             hexNumber(cursor.attempt) })
         body += separator + part;
     return body + separator + authenticate(body, binding);
 }
@@ -99,7 +99,7 @@
         return refuse("the cursor is too long");
     auto parts = split(text);
     if (parts.size() != fieldCount)
-        return refuse("the cursor does not have eight parts");
+        return refuse("the cursor does not have nine parts");
     if (parts[0] != formatTag)
         return refuse("the cursor has an unknown format");
     auto body = text.substr(0, text.size() - parts.back().size() - 1);
@@ -111,7 +111,8 @@
     auto request = internal::unescape(parts[1]);
     auto version = internal::unescape(parts[5]);
     bool isWhole = request && version && parts[3].size() == digestDigits && parseHex(parts[2], cursor.nextPosition)
-        && parseHex(parts[4], cursor.seed) && parseHex(parts[6], cursor.logicalTime);
+        && parseHex(parts[4], cursor.seed) && parseHex(parts[6], cursor.logicalTime)
+        && parseHex(parts[7], cursor.attempt);
     if (!isWhole)
         return refuse("a member of the cursor is malformed");
     cursor.request = RequestId(*request);
--- a/test/core/StreamCursorTest.cpp
+++ b/test/core/StreamCursorTest.cpp
@@ -12,7 +12,7 @@
     TextDigest digest;
     for (uint32_t i = 0; i < position; ++i)
         digest.add("t" + std::to_string(i));
-    return { RequestId("r/1.x\n"), position, digest.value(), 0xfedcba9876543210, "v1.2", 99 };
+    return { RequestId("r/1.x\n"), position, digest.value(), 0xfedcba9876543210, "v1.2", 99, 3 };
 }
 
 } // namespace
--- a/test/core/StreamProtocolTest.cpp
+++ b/test/core/StreamProtocolTest.cpp
@@ -218,8 +218,8 @@
         caller.text += event.text;
         ++caller.received;
         caller.digest.add(event.text);
-        caller.eventId
-            = m_codec.format({ event.request, caller.received, caller.digest.value(), 1, "v1", 0 }, "binding");
+        caller.eventId = m_codec.format(
+            { event.request, caller.received, caller.digest.value(), 1, "v1", 0, event.attempt }, "binding");
         if (caller.isComplete && caller.received != answerTokens)
             fail(caller, "an end after " + std::to_string(caller.received) + " tokens");
     }
