Decode exactly one value in one place

Cause: four codecs repeated the same check for bytes behind a value. Change: decodeWhole in FieldCodec.h; 42 lines less. Conclusion: one border between DecodeError and Reason.

--- a/include/spindleadapters/internal/FieldCodec.h
+++ b/include/spindleadapters/internal/FieldCodec.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include "spindlecore/ResultCode.h"
+
 #include <chrono>
 #include <limits>
 #include <memory>
@@ -221,4 +223,19 @@
     return value;
 }
 
+// Decodes bytes that hold exactly one value. Returns nothing and sets the reason with the given code otherwise.
+template <typename Value> std::optional<Value> decodeWhole(std::string_view bytes, ResultCode code, Reason& reason)
+{
+    size_t offset = 0;
+    try {
+        auto value = decodeFields<Value>(bytes, offset);
+        if (offset == bytes.size())
+            return value;
+        reason = { code, std::to_string(bytes.size() - offset) + " bytes follow the value" };
+    } catch (const DecodeError& error) {
+        reason = { code, error.what() };
+    }
+    return std::nullopt;
+}
+
 } // namespace jacinthspindle::internal
--- a/src/adapters/ActionCodec.cpp
+++ b/src/adapters/ActionCodec.cpp
@@ -14,20 +14,6 @@
     // A lease lists only orders in flight; anything larger is not one.
     constexpr size_t maxLeaseBytes = 64 << 10;
 
-    template <typename Value> std::optional<Value> decodeOne(std::string_view bytes, ResultCode code, Reason& reason)
-    {
-        size_t offset = 0;
-        try {
-            auto value = internal::decodeFields<Value>(bytes, offset);
-            if (offset == bytes.size())
-                return value;
-            reason = { code, std::to_string(bytes.size() - offset) + " bytes follow the value" };
-        } catch (const internal::DecodeError& error) {
-            reason = { code, error.what() };
-        }
-        return std::nullopt;
-    }
-
     template <typename Row>
     std::optional<Row> decodeRow(std::string_view bytes, size_t maxBytes, uint16_t format, Reason& reason)
     {
@@ -36,7 +22,7 @@
             reason = { code, "the row has " + std::to_string(bytes.size()) + " bytes" };
             return std::nullopt;
         }
-        auto row = decodeOne<Row>(bytes, code, reason);
+        auto row = internal::decodeWhole<Row>(bytes, code, reason);
         if (row && row->format != format) {
             reason = { code, "format " + std::to_string(row->format) + " is not supported" };
             return std::nullopt;
@@ -46,7 +32,7 @@
 
     template <typename Input> std::optional<Input> decodeTrace(std::string_view bytes, Reason& reason)
     {
-        return decodeOne<Input>(bytes, ResultCode::TraceMalformed, reason);
+        return internal::decodeWhole<Input>(bytes, ResultCode::TraceMalformed, reason);
     }
 
 } // namespace
--- a/src/adapters/PeerTraceCodec.cpp
+++ b/src/adapters/PeerTraceCodec.cpp
@@ -6,24 +6,6 @@
 
 namespace jacinthspindle {
 
-namespace {
-
-    template <typename Value> std::optional<Value> decodeOne(std::string_view bytes, Reason& reason)
-    {
-        size_t offset = 0;
-        try {
-            auto value = internal::decodeFields<Value>(bytes, offset);
-            if (offset == bytes.size())
-                return value;
-            reason = { ResultCode::TraceMalformed, std::to_string(bytes.size() - offset) + " bytes follow the value" };
-        } catch (const internal::DecodeError& error) {
-            reason = { ResultCode::TraceMalformed, error.what() };
-        }
-        return std::nullopt;
-    }
-
-} // namespace
-
 #define JACINTHSPINDLE_TRACE_CODEC(name, Type)                                                                         \
     std::string encode##name(const Type& value)                                                                        \
     {                                                                                                                  \
@@ -31,7 +13,7 @@
     }                                                                                                                  \
     std::optional<Type> decode##name(std::string_view bytes, Reason& reason)                                           \
     {                                                                                                                  \
-        return decodeOne<Type>(bytes, reason);                                                                         \
+        return internal::decodeWhole<Type>(bytes, ResultCode::TraceMalformed, reason);                                 \
     }
 
 JACINTHSPINDLE_TRACE_CODEC(MembershipConfig, MembershipConfig)
--- a/src/adapters/TableStore.cpp
+++ b/src/adapters/TableStore.cpp
@@ -46,16 +46,7 @@
 
 std::optional<TableHead> decodeHead(std::string_view bytes, Reason& reason)
 {
-    size_t offset = 0;
-    try {
-        auto head = internal::decodeFields<TableHead>(bytes, offset);
-        if (offset == bytes.size())
-            return head;
-        reason = { ResultCode::PlatformAnswerMalformed, "bytes follow the head row" };
-    } catch (const internal::DecodeError& error) {
-        reason = { ResultCode::PlatformAnswerMalformed, std::string("head row: ") + error.what() };
-    }
-    return std::nullopt;
+    return internal::decodeWhole<TableHead>(bytes, ResultCode::PlatformAnswerMalformed, reason);
 }
 
 TableStore::TableStore(TableService& tables, ObjectStore& objects, std::chrono::milliseconds timeout)
--- a/src/adapters/TraceCodec.cpp
+++ b/src/adapters/TraceCodec.cpp
@@ -6,24 +6,6 @@
 
 namespace jacinthspindle {
 
-namespace {
-
-    template <typename Value> std::optional<Value> decodeOne(std::string_view bytes, ResultCode code, Reason& reason)
-    {
-        size_t offset = 0;
-        try {
-            auto value = internal::decodeFields<Value>(bytes, offset);
-            if (offset == bytes.size())
-                return value;
-            reason = { code, std::to_string(bytes.size() - offset) + " bytes follow the value" };
-        } catch (const internal::DecodeError& error) {
-            reason = { code, error.what() };
-        }
-        return std::nullopt;
-    }
-
-} // namespace
-
 std::string encodeRecord(const TraceRecord& record)
 {
     return internal::encodeFields(record);
@@ -56,27 +38,27 @@
 
 std::optional<CoreConfig> decodeConfig(std::string_view bytes, Reason& reason)
 {
-    return decodeOne<CoreConfig>(bytes, ResultCode::TraceMalformed, reason);
+    return internal::decodeWhole<CoreConfig>(bytes, ResultCode::TraceMalformed, reason);
 }
 
 std::optional<CoreInput> decodeInput(std::string_view bytes, Reason& reason)
 {
-    return decodeOne<CoreInput>(bytes, ResultCode::TraceMalformed, reason);
+    return internal::decodeWhole<CoreInput>(bytes, ResultCode::TraceMalformed, reason);
 }
 
 std::optional<CoreDecision> decodeDecision(std::string_view bytes, Reason& reason)
 {
-    return decodeOne<CoreDecision>(bytes, ResultCode::TraceMalformed, reason);
+    return internal::decodeWhole<CoreDecision>(bytes, ResultCode::TraceMalformed, reason);
 }
 
 std::optional<TableDelta> decodeDelta(std::string_view bytes, Reason& reason)
 {
-    return decodeOne<TableDelta>(bytes, ResultCode::TableInvalid, reason);
+    return internal::decodeWhole<TableDelta>(bytes, ResultCode::TableInvalid, reason);
 }
 
 std::optional<Table> decodeTable(std::string_view bytes, Reason& reason)
 {
-    return decodeOne<Table>(bytes, ResultCode::TableInvalid, reason);
+    return internal::decodeWhole<Table>(bytes, ResultCode::TableInvalid, reason);
 }
 
 std::optional<std::vector<TraceRecord>> decodeRecords(std::string_view bytes, Reason& reason)
