Count only requests of a workspace that were counted at admission

Cause: a request that was admitted before its workspace had a limit was not counted, but its end took a place from the count of later ones, so that the concurrency limit could be exceeded by one each time. Change: a request remembers whether it was counted. AdmissionTest covers the case. Conclusion: the count matches the requests in the core.

--- a/include/spindlecore/internal/CoreState.h
+++ b/include/spindlecore/internal/CoreState.h
@@ -46,7 +46,7 @@
     Instant deadline {};
     Instant arrivedAt {};
     double weight = 1;
-    bool isIdempotent = true;
+    bool isCounted = false; // In WorkspaceLimits::active.
 
     uint32_t attempt = 0; // 0 while it waits.
     Chain chain;
@@ -102,7 +102,7 @@
     // Admission.cpp
     ResultCode checkArrival(const RequestArrived&) const;
     std::optional<Duration> limitWait(Instant, const ActiveRequest&);
-    void chargeLimits(Instant, const ActiveRequest&);
+    void chargeLimits(Instant, ActiveRequest&);
     void refuse(Instant, const RequestId&, ResultCode, Duration wait, Decisions&);
     void refuseQueued(Instant, const RequestId&, ResultCode, Duration wait, Decisions&);
     void estimate(ActiveRequest&) const;
--- a/src/core/Admission.cpp
+++ b/src/core/Admission.cpp
@@ -74,11 +74,12 @@
     return wait;
 }
 
-void CoreState::chargeLimits(Instant now, const ActiveRequest& request)
+void CoreState::chargeLimits(Instant now, ActiveRequest& request)
 {
     auto it = m_limits.find(request.arrival.workspace);
     if (it == m_limits.end())
         return;
+    request.isCounted = true;
     ++it->second.active;
     it->second.requests.charge(now, 1);
     it->second.tokens.charge(now, request.arrival.promptTokens + request.estimatedTokens);
--- a/src/core/CoreState.cpp
+++ b/src/core/CoreState.cpp
@@ -138,7 +138,7 @@
 void CoreState::remove(Requests::iterator it)
 {
     auto limits = m_limits.find(it->second.arrival.workspace);
-    if (limits != m_limits.end() && limits->second.active)
+    if (it->second.isCounted && limits != m_limits.end())
         --limits->second.active;
     m_requests.erase(it);
 }
--- a/test/core/AdmissionTest.cpp
+++ b/test/core/AdmissionTest.cpp
@@ -177,6 +177,19 @@
     CHECK(firstOf<Dispatch>(driver.arrive("r4")));
 }
 
+TEST_CASE("requests that were admitted before their workspace had a limit do not free places of later ones")
+{
+    CoreDriver driver;
+    driver.adopt(test::sampleTable());
+    REQUIRE(firstOf<Dispatch>(driver.arrive("before")));
+    driver.adopt(tableWithLimits(0, 0, 1));
+    REQUIRE(firstOf<Dispatch>(driver.arrive("r1")));
+    driver.finish("before");
+    CHECK(firstOf<Refuse>(driver.arrive("r2")));
+    driver.finish("r1");
+    CHECK(firstOf<Dispatch>(driver.arrive("r3")));
+}
+
 TEST_CASE("unknown routes and workspaces are refused with their own codes")
 {
     CoreDriver driver;
