Play fewer pairs of faults in builds with sanitizers

Cause: under the address sanitizer the action test alone took 108 s in a debug build on a busy host; the sanitizers look for other faults than the enumeration of protocol cases does.

--- a/test/support/FaultyTable.h
+++ b/test/support/FaultyTable.h
@@ -10,6 +10,14 @@
 
 namespace jacinthspindle::test {
 
+// Sanitizers make a case about ten times as slow and look for other faults than the enumeration does, so that builds
+// with them play pairs of faults for one set of capabilities only. All pairs are played in the plain build.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr bool isSanitized = true;
+#else
+constexpr bool isSanitized = false;
+#endif
+
 enum class Fault : uint8_t {
     None,
     LostRequest, // Not carried out, no answer.
