Refuse a shared HTTP address, end a front that has just started, and satisfy the linter

Cause: two daemons could listen on one HTTP address, because the library sets SO_REUSEPORT; a front that was stopped before its loop ran never ended; a deadline before an output counted as carried out; the linter found faults. Change: the listening socket sets SO_REUSEADDR alone; start() waits until the loop runs; ActionTimedOut says that the output was not carried out; Retry-After goes only with answers that a repetition can change; counter names, const references and the flag parser as the linter asks.

--- a/src/daemon/ActionRun.cpp
+++ b/src/daemon/ActionRun.cpp
@@ -35,7 +35,7 @@
             while (!std::holds_alternative<AnswerCaller>(output)) {
                 auto step = std::visit([](const auto& it) { return it.step; }, output);
                 if (m_admission.remaining() <= Duration::zero()) {
-                    output = apply(ActionTimedOut { step });
+                    output = apply(ActionTimedOut { step, false });
                     continue;
                 }
                 auto input = std::visit([this](const auto& it) { return carryOut(it); }, output);
--- a/src/daemon/CompletionHandler.cpp
+++ b/src/daemon/CompletionHandler.cpp
@@ -38,8 +38,8 @@
     return { end.code, end.ran, end.detail, end.retryAfter, request };
 }
 
-void CompletionHandler::handle(
-    CompletionForm form, const httplib::Request& request, httplib::Response& response, std::shared_ptr<void> handle)
+void CompletionHandler::handle(CompletionForm form, const httplib::Request& request, httplib::Response& response,
+    const std::shared_ptr<void>& handle)
 {
     Reason reason;
     auto headers = readCallerHeaders(request, reason);
@@ -68,12 +68,12 @@
     CompletionIdentity identity { form, stream->answerId(), body->route,
         std::chrono::floor<std::chrono::seconds>(m_context.clock.wallNow()).time_since_epoch().count() };
     if (body->isStream)
-        answerStream(response, std::move(stream), identity, handle);
+        answerStream(response, stream, identity, handle);
     else
         answerWhole(response, *stream, identity);
 }
 
-void CompletionHandler::answerStream(httplib::Response& response, std::shared_ptr<ModelStream> stream,
+void CompletionHandler::answerStream(httplib::Response& response, const std::shared_ptr<ModelStream>& stream,
     const CompletionIdentity& identity, const std::shared_ptr<void>& handle)
 {
     response.set_header("Cache-Control", "no-store");
--- a/src/daemon/CompletionHandler.h
+++ b/src/daemon/CompletionHandler.h
@@ -16,10 +16,10 @@
     explicit CompletionHandler(TrafficContext&);
 
     // handle is released when the whole answer was written.
-    void handle(CompletionForm, const httplib::Request&, httplib::Response&, std::shared_ptr<void> handle);
+    void handle(CompletionForm, const httplib::Request&, httplib::Response&, const std::shared_ptr<void>& handle);
 
 private:
-    void answerStream(httplib::Response&, std::shared_ptr<ModelStream>, const CompletionIdentity&,
+    void answerStream(httplib::Response&, const std::shared_ptr<ModelStream>&, const CompletionIdentity&,
         const std::shared_ptr<void>& handle);
     void answerWhole(httplib::Response&, ModelStream&, const CompletionIdentity&);
     Problem problemOf(const RequestEnd&, const RequestId&);
--- a/src/daemon/HttpFront.cpp
+++ b/src/daemon/HttpFront.cpp
@@ -7,6 +7,7 @@
 #include "daemon/ServiceHandler.h"
 #include "daemon/TrafficServer.h"
 
+#include <atomic>
 #include <charconv>
 #include <thread>
 
@@ -56,7 +57,13 @@
 
     void start()
     {
-        m_thread = std::thread([this] { m_server.listen_after_bind(); });
+        m_thread = std::thread([this] {
+            m_server.listen_after_bind();
+            m_hasEnded = true;
+        });
+        // The library ignores a stop that comes before its loop runs.
+        while (!m_server.is_running() && !m_hasEnded)
+            std::this_thread::yield();
     }
 
     void stop()
@@ -130,7 +137,7 @@
         auto complete = [this](CompletionForm form) {
             return [this, form](const Request& request, Response& response) {
                 if (auto handle = enter(response))
-                    m_completions.handle(form, request, response, std::move(handle));
+                    m_completions.handle(form, request, response, handle);
             };
         };
         m_server.Post("/v1/chat/completions", complete(CompletionForm::Chat));
@@ -193,6 +200,7 @@
     ServiceHandler m_services;
     TrafficServer m_server;
     uint16_t m_port = 0;
+    std::atomic<bool> m_hasEnded { false };
     std::thread m_thread;
 };
 
--- a/src/daemon/HttpHeaders.cpp
+++ b/src/daemon/HttpHeaders.cpp
@@ -49,7 +49,9 @@
 void setProblem(httplib::Response& response, const Problem& problem)
 {
     response.status = httpStatus(problem.code);
-    if (problem.retryAfter > Duration::zero()) {
+    // A repetition of a request that is wrong in itself changes nothing.
+    bool isWorthRetrying = response.status >= 500 || response.status == 429 || response.status == 409;
+    if (isWorthRetrying && problem.retryAfter > Duration::zero()) {
         auto seconds = std::chrono::ceil<std::chrono::seconds>(problem.retryAfter).count();
         response.set_header("Retry-After", std::to_string(seconds));
     }
--- a/src/daemon/Metrics.cpp
+++ b/src/daemon/Metrics.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics.hpp>
+#include <cstddef>
 #include <sstream>
 
 namespace jacinthspindle::daemon {
@@ -17,7 +18,7 @@
         const char* help;
     };
 
-    constexpr std::array<NameText, static_cast<size_t>(Counter::Count_)> counterTexts { {
+    constexpr std::array<NameText, counterCount> counterTexts { {
         { "requests_arrived_total", "Requests handed to the decision core" },
         { "requests_finished_total", "Requests answered whole" },
         { "callers_gone_total", "Requests whose caller closed the connection" },
@@ -43,7 +44,7 @@
         { "platform_failures_total", "Failed requests to the platform" },
     } };
 
-    constexpr std::array<NameText, static_cast<size_t>(Distribution::Count_)> distributionTexts { {
+    constexpr std::array<NameText, distributionCount> distributionTexts { {
         { "decision_seconds", "Time of one input in the decision core" },
         { "control_wait_seconds", "Time of an input in the queue of the control thread" },
         { "first_token_seconds", "Time from arrival to the first token" },
@@ -84,7 +85,7 @@
         // The P-square estimate needs a few values before its markers are placed.
         for (size_t i = 0; i < quantiles.size() && n > 2 * quantiles.size() + 3; ++i) {
             out << prefix << text.name << "{quantile=\"" << quantiles[i] << "\"} "
-                << stats::extended_p_square(m_values)[i] << '\n';
+                << stats::extended_p_square(m_values)[static_cast<std::ptrdiff_t>(i)] << '\n';
         }
         out << prefix << text.name << "_sum " << (n ? stats::sum(m_values) : 0) << '\n';
         out << prefix << text.name << "_count " << n << '\n';
--- a/src/daemon/Metrics.h
+++ b/src/daemon/Metrics.h
@@ -40,8 +40,8 @@
     TraceBatches,
     TraceBatchesFailed,
     PlatformFailures,
-    Count_,
 };
+constexpr size_t counterCount = static_cast<size_t>(Counter::PlatformFailures) + 1;
 
 enum class Distribution : uint8_t {
     DecisionTime, // Of one input in the decision core.
@@ -50,8 +50,8 @@
     TokenGap, // Between two tokens of a stream.
     TokenOverhead, // From the engine's token to the end of the write to the caller.
     RequestTime, // From arrival to the end.
-    Count_,
 };
+constexpr size_t distributionCount = static_cast<size_t>(Distribution::RequestTime) + 1;
 
 // Thread-safe.
 class Metrics {
@@ -78,8 +78,8 @@
     };
     class Summary;
 
-    std::array<std::atomic<uint64_t>, static_cast<size_t>(Counter::Count_)> m_counters {};
-    std::array<std::unique_ptr<Summary>, static_cast<size_t>(Distribution::Count_)> m_summaries;
+    std::array<std::atomic<uint64_t>, counterCount> m_counters {};
+    std::array<std::unique_ptr<Summary>, distributionCount> m_summaries;
     mutable std::mutex m_resultMutex;
     std::map<ResultCode, uint64_t> m_results;
     std::vector<Gauge> m_gauges;
--- a/src/daemon/ModelStream.cpp
+++ b/src/daemon/ModelStream.cpp
@@ -250,7 +250,7 @@
     m_hasSentToken = true;
     m_lastTokenAt = receivedAt;
     StreamCursor cursor { answerId(), event.position + 1, textDigest(), m_seed, m_version,
-        m_context.trace.logicalTime(), event.attempt };
+        m_context.trace.logicalTime() };
     m_lastCursor = m_context.cursors.format(cursor, m_binding);
     bool isTaken = consumer({ event.text, m_lastCursor, event.isLast });
     m_context.metrics.observe(Distribution::TokenOverhead, m_context.clock.now() - receivedAt);
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -59,6 +59,13 @@
         return shown;
     }
 
+    // The arguments refer to the command line that holds them.
+    struct FlagParser {
+        TCLAP::CmdLine line { "Routes language-model pipelines over mixed accelerators.", ' ', programVersion };
+        TCLAP::UnlabeledMultiArg<std::string> unknown { "unknown", "Nothing else is allowed", false, "text", line };
+        std::vector<std::unique_ptr<TCLAP::MultiArg<std::string>>> flags;
+    };
+
     // Holds the raw text of all settings and collects faults while they are converted.
     class SettingReader {
     public:
@@ -71,25 +78,23 @@
         // fault.
         void parseFlags(const std::vector<std::string>& arguments)
         {
-            TCLAP::CmdLine line("Routes language-model pipelines over mixed accelerators.", ' ', programVersion);
-            line.setExceptionHandling(false);
-            TCLAP::UnlabeledMultiArg<std::string> unknown("unknown", "Nothing else is allowed", false, "text", line);
-            std::vector<std::unique_ptr<TCLAP::MultiArg<std::string>>> flags;
+            FlagParser parser;
+            parser.line.setExceptionHandling(false);
             std::vector<std::string> names;
             for (const auto& it : flagTexts) {
                 names.emplace_back(it.name);
-                flags.push_back(
-                    std::make_unique<TCLAP::MultiArg<std::string>>("", it.name, it.description, false, "text", line));
+                parser.flags.push_back(std::make_unique<TCLAP::MultiArg<std::string>>(
+                    "", it.name, it.description, false, "text", parser.line));
             }
             try {
                 auto all = withEnvironment(arguments, names);
-                line.parse(all);
+                parser.line.parse(all);
             } catch (const TCLAP::ArgException& error) {
                 m_faults.push_back({ "command line", shownValue(error.argId()), "a value after each flag" });
             }
-            for (const auto& it : unknown.getValue())
+            for (const auto& it : parser.unknown.getValue())
                 m_faults.push_back({ "command line", shownValue(it), "the flags that --help lists" });
-            for (const auto& it : flags) {
+            for (const auto& it : parser.flags) {
                 if (it->isSet())
                     m_values[it->getName()] = it->getValue().back();
                 if (it->getValue().size() > 1)
@@ -154,14 +159,16 @@
 
         uint64_t number(const std::string& flag, uint64_t preset, uint64_t least, uint64_t most)
         {
-            auto value = text(flag);
-            if (!value)
+            const auto given = text(flag);
+            if (!given)
                 return preset;
+            const std::string& value = *given;
             uint64_t number = 0;
-            auto [end, ec] = std::from_chars(value->data(), value->data() + value->size(), number);
-            bool isWhole = ec == std::errc() && end == value->data() + value->size();
+            const char* last = value.data() + value.size();
+            auto [end, ec] = std::from_chars(value.data(), last, number);
+            bool isWhole = ec == std::errc() && end == last;
             if (!isWhole || number < least || number > most)
-                fault(flag, *value, "a whole number of " + std::to_string(least) + "-" + std::to_string(most));
+                fault(flag, value, "a whole number of " + std::to_string(least) + "-" + std::to_string(most));
             return number;
         }
 
--- a/src/daemon/TraceRecorder.cpp
+++ b/src/daemon/TraceRecorder.cpp
@@ -164,7 +164,7 @@
 {
     auto batch = m_recorder.read(m_flushed, maxBatchBytes);
     if (batch.bytes.empty())
-        return true;
+        return false;
     if (batch.first > m_flushed)
         m_metrics.add(Counter::TraceRecordsLost, batch.first + 1 - m_flushed);
     char number[24];
--- a/src/daemon/TraceRecorder.h
+++ b/src/daemon/TraceRecorder.h
@@ -82,6 +82,7 @@
 
 private:
     void run();
+    // Returns whether a batch was stored.
     bool flushOnce();
 
     TraceRecorder& m_recorder;
--- a/src/daemon/TrafficServer.cpp
+++ b/src/daemon/TrafficServer.cpp
@@ -26,6 +26,11 @@
 TrafficServer::TrafficServer(const TrafficServerLimits& limits)
     : m_limits(limits)
 {
+    // The library's preset adds SO_REUSEPORT, with which two daemons would share one address unnoticed.
+    set_socket_options([](socket_t socket) {
+        int on = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    });
     set_payload_max_length(limits.bodyBytes);
     set_keep_alive_max_count(limits.requestsPerConnection);
     set_keep_alive_timeout(std::chrono::ceil<std::chrono::seconds>(limits.keepAlive).count());
--- a/test/adapters/HttpFrontTest.cpp
+++ b/test/adapters/HttpFrontTest.cpp
@@ -242,6 +242,17 @@
     CHECK(engine.runs == 0);
 }
 
+TEST_CASE_FIXTURE(DaemonFixture, "an address that another daemon serves is refused")
+{
+    DaemonFixture other;
+    daemon::HttpFront second({ other.traffic, other.ledger, other.lifecycle, other.trace, [] { return true; },
+                                 [] { return true; }, [] { return std::string(); }, [] {} },
+        1);
+    Reason reason;
+    CHECK_FALSE(second.bind({ "127.0.0.1", front.port() }, reason));
+    CHECK(reason.code == ResultCode::SettingsInvalid);
+}
+
 TEST_CASE("requests beyond threads and queue are refused at once as not run while operators are answered")
 {
     DaemonFixture fixture(1);
