Mend what the linter found in the front and in the daemon's tests

Cause: the linter named a copied parameter, a captured binding, vectors without reserve and a redundant c_str(). Change: these places only.

--- a/src/daemon/HttpFront.cpp
+++ b/src/daemon/HttpFront.cpp
@@ -168,7 +168,7 @@
             response.set_header("Connection", "close");
             return httplib::Server::HandlerResponse::Handled;
         });
-        m_server.set_exception_handler([](const Request&, Response& response, std::exception_ptr error) {
+        m_server.set_exception_handler([](const Request&, Response& response, const std::exception_ptr& error) {
             Problem problem { ResultCode::RequestMalformed, Execution::Unknown, {}, {}, {} };
             try {
                 std::rethrow_exception(error);
--- a/test/adapters/DaemonSettingsTest.cpp
+++ b/test/adapters/DaemonSettingsTest.cpp
@@ -19,12 +19,13 @@
         { "http-address", "127.0.0.1:8080" }, { "peer-address", "127.0.0.1:8081" },
         { "table-service", "127.0.0.1:7000" }, { "object-store", "127.0.0.1:7001" }, { "host-list", "127.0.0.1:7002" },
         { "peer-key", "0123456789abcdef" } };
-    for (const auto& [name, value] : changes) {
-        auto it = std::find_if(flags.begin(), flags.end(), [&](const auto& flag) { return flag.first == name; });
+    for (const auto& change : changes) {
+        auto it
+            = std::find_if(flags.begin(), flags.end(), [&](const auto& flag) { return flag.first == change.first; });
         if (it == flags.end())
-            flags.emplace_back(name, value);
+            flags.push_back(change);
         else
-            it->second = value;
+            it->second = change.second;
     }
     std::vector<std::string> arguments { "jacinthspindled" };
     for (const auto& [name, value] : flags) {
--- a/test/adapters/HttpFrontTest.cpp
+++ b/test/adapters/HttpFrontTest.cpp
@@ -258,9 +258,10 @@
     DaemonFixture fixture(1);
     fixture.engine.hold(true);
     std::vector<std::thread> callers;
+    constexpr int taken = 9;
+    callers.reserve(taken);
     std::atomic<int> whole { 0 };
     // One runs and eight wait, as many as the queue of the smallest server takes.
-    constexpr int taken = 9;
     for (int i = 0; i < taken; ++i) {
         callers.emplace_back([&] {
             auto client = fixture.client();
@@ -325,7 +326,7 @@
     CHECK(report.gaps == 0);
     CHECK_FALSE(report.divergence);
     auto last = records->back().sequence;
-    auto rest = client().Get(("/trace?after=" + std::to_string(last)).c_str());
+    auto rest = client().Get("/trace?after=" + std::to_string(last));
     REQUIRE(rest);
     auto newer = decodeRecords(rest->body, reason);
     REQUIRE(newer);
--- a/test/adapters/TraceRecorderTest.cpp
+++ b/test/adapters/TraceRecorderTest.cpp
@@ -92,6 +92,7 @@
 TEST_CASE_FIXTURE(RecorderFixture, "concurrent writers lose nothing that a reader does not see as a gap")
 {
     std::vector<std::thread> writers;
+    writers.reserve(4);
     for (int i = 0; i < 4; ++i) {
         writers.emplace_back([this] {
             for (int n = 0; n < 2000; ++n)
