--- a/test/adapters/HttpFrontTest.cpp
+++ b/test/adapters/HttpFrontTest.cpp
@@ -242,14 +242,26 @@
     CHECK(engine.runs == 0);
 }
 
+TEST_CASE_FIXTURE(DaemonFixture, "an address that another daemon serves is refused")
+{
+    DaemonFixture other;
+    daemon::HttpFront second({ other.traffic, other.ledger, other.lifecycle, other.trace, [] { return true; },
+                                 [] { return true; }, [] { return std::string(); }, [] {} },
+        1);
+    Reason reason;
+    CHECK_FALSE(second.bind({ "127.0.0.1", front.port() }, reason));
+    CHECK(reason.code == ResultCode::SettingsInvalid);
+}
+
 TEST_CASE("requests beyond threads and queue are refused at once as not run while operators are answered")
 {
     DaemonFixture fixture(1);
     fixture.engine.hold(true);
     std::vector<std::thread> callers;
+    constexpr int taken = 9;
+    callers.reserve(taken);
     std::atomic<int> whole { 0 };
     // One runs and eight wait, as many as the queue of the smallest server takes.
-    constexpr int taken = 9;
     for (int i = 0; i < taken; ++i) {
         callers.emplace_back([&] {
             auto client = fixture.client();
@@ -314,7 +326,7 @@
     CHECK(report.gaps == 0);
     CHECK_FALSE(report.divergence);
     auto last = records->back().sequence;
-    auto rest = client().Get(("/trace?after=" + std::to_string(last)).c_str());
+    auto rest = client().Get("/trace?after=" + std::to_string(last));
     REQUIRE(rest);
     auto newer = decodeRecords(rest->body, reason);
     REQUIRE(newer);
