Mend two lint faults in the adapter tests

Cause: clang-tidy names a string that is built from temporaries and an ignored result of bind(). Change: both are written out.

--- a/test/adapters/HttpEndpointsTest.cpp
+++ b/test/adapters/HttpEndpointsTest.cpp
@@ -102,7 +102,10 @@
     for (char c : lines)
         single += chunk({ c });
     for (const auto& body : { chunk(lines), chunk(lines.substr(0, 50)) + chunk(lines.substr(50)), single }) {
-        ScriptedServer server(chunkedHead() + body + endChunk);
+        auto answer = chunkedHead();
+        answer += body;
+        answer += endChunk;
+        ScriptedServer server(answer);
         auto result = runAgainst(server);
         CHECK(result.end.outcome == GenerationOutcome::Complete);
         REQUIRE(result.tokens.size() == 3);
--- a/test/support/ScriptedServer.h
+++ b/test/support/ScriptedServer.h
@@ -22,8 +22,8 @@
     name.sin_family = AF_INET;
     name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t n = sizeof name;
-    bind(socket, reinterpret_cast<sockaddr*>(&name), n);
-    getsockname(socket, reinterpret_cast<sockaddr*>(&name), &n);
+    if (bind(socket, reinterpret_cast<sockaddr*>(&name), n) == 0)
+        getsockname(socket, reinterpret_cast<sockaddr*>(&name), &n);
     return socket;
 }
 
