Count runs of an action under the key that the endpoint sees

Cause: endpoints now see <workspace>.<key>. Conclusion: the check that an action ran once stays as strict.

--- a/test/e2e/Cluster.cpp
+++ b/test/e2e/Cluster.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <httplib.h>
 #include <netinet/in.h>
+#include <spindlecore/spindlecore.h>
 #include <sstream>
 #include <sys/socket.h>
 
@@ -228,7 +229,8 @@
 uint32_t Cluster::runs(const std::string& key) const
 {
     auto json = counters("catalogue");
-    return json.contains("runs") ? json["runs"].value(key, 0U) : UINT32_MAX;
+    auto endpointKey = actionEndpointKey(WorkspaceId("schools-board"), key);
+    return json.contains("runs") ? json["runs"].value(endpointKey, 0U) : UINT32_MAX;
 }
 
 int Cluster::control(std::vector<std::string> arguments, std::string* output) const
