Keep the stand-ins' flags in a struct

Cause: the analyzer reports the constructors of TCLAP's command line where it follows them from main. Change: the flags are members of one struct, as in the other programs.

--- a/src/standins/Main.cpp
+++ b/src/standins/Main.cpp
@@ -37,38 +37,48 @@
         return text.str();
     }
 
-    Settings parseSettings(int count, const char* const* arguments)
+    using Text = TCLAP::ValueArg<std::string>;
+    using Time = TCLAP::ValueArg<uint32_t>;
+    using List = TCLAP::MultiArg<std::string>;
+
+    uint32_t countOf(milliseconds value)
     {
-        TCLAP::CmdLine line("Serves stand-ins of the platform, of engines and of plain services.", ' ', "0.1");
-        auto address = [&](const char* name, const char* text) {
-            return std::make_unique<TCLAP::ValueArg<std::string>>("", name, text, false, "", "IP:port", line);
-        };
-        auto time = [&](const char* name, const char* text, milliseconds value) {
-            return std::make_unique<TCLAP::ValueArg<uint32_t>>(
-                "", name, text, false, static_cast<uint32_t>(value.count()), "milliseconds", line);
-        };
-        auto list = [&](const char* name, const char* text, const char* kind) {
-            return std::make_unique<TCLAP::MultiArg<std::string>>("", name, text, false, kind, line);
-        };
+        return static_cast<uint32_t>(value.count());
+    }
+
+    // The arguments of TCLAP, which refer to the command line that holds them.
+    struct Flags {
         EnginePace pace;
-        auto table = address("table", "Address of the table service");
-        auto objects = address("objects", "Address of the object store");
-        auto hosts = address("hosts", "Address of the host list");
-        auto control = address("control", "Address of POST /faults and GET /counters");
-        TCLAP::ValueArg<std::string> sample(
-            "", "sample", "Folder of the table's CSV files; serves its endpoints", false, "", "folder", line);
-        auto only = list("only", "Serve only this endpoint of the sample", "endpoint");
-        auto entries = list("entry", "An entry host of the host list", "name,dataCentre,peerAddress,httpAddress");
-        auto faults = list("fault", "Faults from the start, as POST /faults takes them", "JSON");
-        auto token = time("token-ms", "Time of an engine for one token", pace.perToken);
-        auto prefill = time("prefill-ms", "Time of an engine before the first token", pace.prefill);
-        auto lag = time("status-lag-ms", "Age that an engine's status may have", pace.statusLag);
-        auto loading = time("loading-ms", "Time of an engine to carry out an order", pace.loading);
-        line.parse(count, arguments);
-        pace = { milliseconds(token->getValue()), milliseconds(prefill->getValue()), milliseconds(lag->getValue()),
-            milliseconds(loading->getValue()) };
-        return { table->getValue(), objects->getValue(), hosts->getValue(), control->getValue(), sample.getValue(),
-            only->getValue(), entries->getValue(), faults->getValue(), pace };
+        TCLAP::CmdLine line { "Serves stand-ins of the platform, of engines and of plain services.", ' ', "0.1" };
+        Text table { "", "table", "Address of the table service", false, "", "IP:port", line };
+        Text objects { "", "objects", "Address of the object store", false, "", "IP:port", line };
+        Text hosts { "", "hosts", "Address of the host list", false, "", "IP:port", line };
+        Text control { "", "control", "Address of POST /faults and GET /counters", false, "", "IP:port", line };
+        Text sample { "", "sample", "Folder of the table's CSV files; serves its endpoints", false, "", "folder",
+            line };
+        List only { "", "only", "Serve only this endpoint of the sample", false, "endpoint", line };
+        List entries { "", "entry", "An entry host of the host list", false, "name,dataCentre,peerAddress,httpAddress",
+            line };
+        List faults { "", "fault", "Faults from the start, as POST /faults takes them", false, "JSON", line };
+        Time token { "", "token-ms", "Time of an engine for one token", false, countOf(pace.perToken), "milliseconds",
+            line };
+        Time prefill { "", "prefill-ms", "Time of an engine before the first token", false, countOf(pace.prefill),
+            "milliseconds", line };
+        Time lag { "", "status-lag-ms", "Age that an engine's status may have", false, countOf(pace.statusLag),
+            "milliseconds", line };
+        Time loading { "", "loading-ms", "Time of an engine to carry out an order", false, countOf(pace.loading),
+            "milliseconds", line };
+    };
+
+    Settings parseSettings(int count, const char* const* arguments)
+    {
+        auto flags = std::make_unique<Flags>();
+        flags->line.parse(count, arguments);
+        EnginePace pace { milliseconds(flags->token.getValue()), milliseconds(flags->prefill.getValue()),
+            milliseconds(flags->lag.getValue()), milliseconds(flags->loading.getValue()) };
+        return { flags->table.getValue(), flags->objects.getValue(), flags->hosts.getValue(), flags->control.getValue(),
+            flags->sample.getValue(), flags->only.getValue(), flags->entries.getValue(), flags->faults.getValue(),
+            pace };
     }
 
     std::optional<Table> readSample(const std::string& folder)
