--- a/test/adapters/ReplayTest.cpp
+++ b/test/adapters/ReplayTest.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <fstream>
+#include <iterator>
 #include <spindleadapters/spindleadapters.h>
 
 using namespace jacinthspindle;
@@ -90,6 +92,24 @@
     CHECK(report.gaps == 0);
 }
 
+// Guards against a change of the decision code that would decide a recorded run otherwise. A wanted change of policy
+// needs a new recording: JACINTHSPINDLE_RECORD=testdata scripts/demo.
+TEST_CASE("the recorded run of the demonstration replays to its stated outcomes")
+{
+    auto read = [](const std::string& name) {
+        std::ifstream file(std::string(JACINTHSPINDLE_SOURCE_DIR "/testdata/") + name, std::ios::binary);
+        return std::string((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    };
+    Reason reason;
+    auto records = decodeRecords(read("demo.trace"), reason);
+    REQUIRE_MESSAGE(records, reason.text);
+    auto report = replayRecords(*records);
+    CHECK_FALSE(report.divergence);
+    CHECK(report.inputs > 1000);
+    for (const auto& it : compareOutcomes(report, read("demo.outcomes")))
+        FAIL_CHECK(it);
+}
+
 TEST_CASE("a changed decision is named as the first divergence")
 {
     auto records = recordedRequests("entry-1", 5);
