Compute the digests of prompt blocks in one place

Cause: the daemon and the engine stand-in each had the block size, the bound and the chaining of prompt digests; cached prefixes match only while the two agree. Change: promptBlockDigests in the core; both call it. Behaviour is the same. The end-to-end tests and the sanitizer builds were not run again. Conclusion: the interface has one definition.

--- a/src/daemon/ModelStream.cpp
+++ b/src/daemon/ModelStream.cpp
@@ -4,6 +4,7 @@
 
 #include "daemon/PromptFigures.h"
 #include "spindleadapters/ActionCodec.h"
+#include "spindlecore/internal/PromptBlocks.h"
 
 #include <algorithm>
 
@@ -66,7 +67,7 @@
     arrival.promptTokens = m_promptTokens;
     arrival.maxTokens = m_maxTokens;
     arrival.firstPosition = m_cursor ? m_cursor->nextPosition : 0;
-    arrival.prefixDigests = promptDigests(m_query.prompt);
+    arrival.prefixDigests = internal::promptBlockDigests(m_query.prompt);
     arrival.deadline = m_query.deadline.value_or(route ? route->deadline : defaultDeadline);
     m_admission = std::make_unique<Admission>(m_context, std::move(arrival));
     return m_admission->admit();
--- a/src/standins/EngineStandin.cpp
+++ b/src/standins/EngineStandin.cpp
@@ -2,7 +2,7 @@
 
 #include "standins/EngineStandin.h"
 
-#include "spindlecore/internal/Digest.h"
+#include "spindlecore/internal/PromptBlocks.h"
 #include "standins/TokenText.h"
 
 #include <algorithm>
@@ -19,21 +19,6 @@
     // that the fault line names the right one.
     constexpr milliseconds lastStageStallLimit { 400 };
     constexpr milliseconds stallLimitPerStage { 100 };
-    constexpr size_t cacheBlockBytes = 256;
-    constexpr size_t maxCacheBlocks = 64;
-
-    // Digests of the prompt's first 1, 2, ... blocks, chained as the daemons compute them.
-    std::vector<uint64_t> blockDigests(const std::string& prompt)
-    {
-        std::vector<uint64_t> digests;
-        std::string chained;
-        for (size_t i = 0; i < std::min(prompt.size() / cacheBlockBytes, maxCacheBlocks); ++i) {
-            chained += prompt.substr(i * cacheBlockBytes, cacheBlockBytes);
-            digests.push_back(internal::sha256Prefix64(chained));
-            chained = std::to_string(digests.back()) + ":";
-        }
-        return digests;
-    }
 
     std::string streamName(const RequestId& request, uint32_t attempt)
     {
@@ -321,7 +306,7 @@
 void EngineStandin::noteCached(const GenerationCall& call)
 {
     std::lock_guard lock(m_mutex);
-    for (auto digest : blockDigests(call.prompt)) {
+    for (auto digest : internal::promptBlockDigests(call.prompt)) {
         if (std::find(m_cached.begin(), m_cached.end(), digest) != m_cached.end())
             continue;
         ++m_cacheSequence;
