--- /dev/null
+++ b/include/spindlecore/LayerPlacement.h
@@ -0,0 +1,43 @@
+// Chooses which layers of a model each engine holds. A pure function of what is known about the engines, so that a
+// decision can be replayed and the next planner continues where the last one stopped.
+
+#pragma once
+
+#include "spindlecore/RoutingConfiguration.h"
+#include "spindlecore/Types.h"
+
+#include <vector>
+
+namespace jacinthspindle {
+
+// One engine as the planner sees it.
+struct PlacedEngine {
+    EndpointId endpoint;
+    DataCentreId dataCentre;
+    std::string accelerator; // A key of ModelLayout::kinds; engines of unknown kinds receive no layers.
+    LayerRange layers; // Held or being loaded; empty after a start.
+    bool isBusy = false; // An order is being carried out.
+    bool isLeaving = false; // Its layers will go; it receives no new ones.
+};
+
+// An engine is to hold these layers in place of those that it holds now.
+struct PlacementOrder {
+    EndpointId endpoint;
+    LayerRange layers;
+    bool operator==(const PlacementOrder&) const = default;
+};
+
+// Returns the orders that bring the engines closer to one whole copy of the model in each data centre whose memory
+// holds one. Engines without layers fill the gaps of their data centre first and then hold the layers that have the
+// fewest copies. Where no such engine is left, the neighbours of a gap extend their ranges, as long as each keeps
+// memory for requests. No order exceeds the memory of an engine, and no order gives up a layer that it holds.
+std::vector<PlacementOrder> planPlacement(const ModelLayout&, const std::vector<PlacedEngine>&);
+
+// Layers that the memory of a kind holds, with none left for requests; 0 for an unknown kind.
+uint32_t layerCapacity(const ModelLayout&, const std::string& accelerator);
+
+// Tokens that can be in flight at once: the sum over data centres of the least KV memory of any layer, in tokens.
+// Chains across data centres can serve more; the figure is a lower bound for comparing placements.
+double placementTokens(const ModelLayout&, const std::vector<PlacedEngine>&);
+
+} // namespace jacinthspindle
--- /dev/null
+++ b/include/spindlecore/PlannerLease.h
@@ -0,0 +1,78 @@
+// Chooses the one daemon that orders engines to hold layers: a row of the platform's table service that its holder
+// rewrites on the condition that nobody else has. The lease keeps two planners from working against each other; safety
+// does not rest on it, since each order names the number of orders that the engine is expected to have accepted.
+
+#pragma once
+
+#include "spindlecore/Types.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace jacinthspindle {
+
+struct PlannerLeaseConfig {
+    std::string holder; // Unique per process start.
+    Duration firstClaimDelay {}; // From the first read of an absent row to the claim; 0 for the preferred daemon.
+    // Between two writes of the holder.
+    Duration renewEvery = std::chrono::milliseconds(1500);
+    // Without a confirmed write for this long the holder stops giving orders; less than takeoverAfter, so that it has
+    // stopped before another daemon starts.
+    Duration validFor = std::chrono::milliseconds(3000);
+    // Between two reads of a daemon that does not hold the lease.
+    Duration watchEvery = std::chrono::milliseconds(4000);
+    // A row that has not changed for this long between two reads has lost its holder.
+    Duration takeoverAfter = std::chrono::milliseconds(3500);
+    // After a call that failed.
+    Duration retryEvery = std::chrono::milliseconds(500);
+};
+
+// Deterministic and without I/O. At most one action is in progress; the owner reports its result before it asks for the
+// next one. Not thread-safe.
+class PlannerLease {
+public:
+    explicit PlannerLease(PlannerLeaseConfig);
+
+    struct Read { };
+    struct Write {
+        uint64_t expectedVersion = 0; // Of the row; 0: it must not exist.
+    };
+    using Action = std::variant<std::monostate, Read, Write>;
+
+    // Returns what is to be done now.
+    Action next(Instant now);
+
+    // The row was read: its version, 0 when absent, and its holder.
+    void wasRead(Instant now, uint64_t version, const std::string& holder);
+    void readFailed(Instant now);
+
+    // The write took effect with this version, counted from the moment it was sent.
+    void wasWritten(Instant sentAt, uint64_t version);
+    // Another daemon wrote the row.
+    void wasRejected(Instant now);
+    // It is not known whether the write took effect.
+    void writeFailed(Instant now);
+
+    // True while this daemon may give orders.
+    bool isHolder(Instant now) const { return m_confirmedAt && now < *m_confirmedAt + m_config.validFor; }
+    // Rises with each time that the lease was gained.
+    uint64_t terms() const { return m_terms; }
+
+private:
+    // Unknown: the row must be read. Watching: another daemon holds it. Claiming: the next action takes the row over.
+    // Holding: the next action renews it.
+    enum class State : uint8_t { Unknown, Watching, Claiming, Holding };
+
+    void enter(State, Instant nextAt);
+
+    PlannerLeaseConfig m_config;
+    State m_state = State::Unknown;
+    Instant m_nextAt {}; // No action before.
+    uint64_t m_version = 0; // Of the row, as last read or written.
+    Instant m_versionSeenAt {}; // When m_version was first seen; valid while watching.
+    std::optional<Instant> m_confirmedAt; // When the last write that took effect was sent, while nobody else wrote.
+    uint64_t m_terms = 0;
+};
+
+} // namespace jacinthspindle
--- a/include/spindlecore/internal/ChainPlanner.h
+++ b/include/spindlecore/internal/ChainPlanner.h
@@ -73,7 +73,7 @@
         double wait = 0; // Seconds until a slot is free.
         double uncached = 1; // Expected share of the prompt that has to be computed.
     };
-    // The cheapest way to have a candidate end at a boundary.
+    // The cheapest way to have a candidate run the segment between two neighbouring boundaries.
     struct Step {
         double cost = 0;
         int32_t previous = -1; // Index of a step; -1 at the start.
@@ -81,10 +81,18 @@
         uint32_t from = 0; // Boundaries.
         uint32_t to = 0;
     };
+    // Neighbouring segments that one candidate runs.
+    struct Run {
+        uint32_t candidate = 0;
+        uint32_t from = 0; // Boundaries.
+        uint32_t to = 0;
+    };
 
     void collect(Instant now, const Pool&, const PlanRequest&, std::mt19937_64& random);
     bool addCandidate(Instant now, const StageGroup&, EndpointIndex, const PlanRequest&);
     Plan planService(Instant now, const Pool&, const PlanRequest&);
+    Plan search(const Pool&, const PlanRequest&);
+    std::vector<Run> runsOf(int32_t last) const;
     Plan trace(const Pool&, const PlanRequest&, int32_t last) const;
 
     const EndpointBook& m_book;
--- a/include/spindlecore/spindlecore.h
+++ b/include/spindlecore/spindlecore.h
@@ -6,12 +6,16 @@
 #include "spindlecore/Clock.h" // IWYU pragma: export
 #include "spindlecore/DecisionCore.h" // IWYU pragma: export
 #include "spindlecore/Decisions.h" // IWYU pragma: export
+#include "spindlecore/EventSplitter.h" // IWYU pragma: export
+#include "spindlecore/LayerPlacement.h" // IWYU pragma: export
 #include "spindlecore/LimitShares.h" // IWYU pragma: export
 #include "spindlecore/Membership.h" // IWYU pragma: export
 #include "spindlecore/OrderMachine.h" // IWYU pragma: export
 #include "spindlecore/PeerMessage.h" // IWYU pragma: export
+#include "spindlecore/PlannerLease.h" // IWYU pragma: export
 #include "spindlecore/Ports.h" // IWYU pragma: export
 #include "spindlecore/ResultCode.h" // IWYU pragma: export
+#include "spindlecore/RoutingConfiguration.h" // IWYU pragma: export
 #include "spindlecore/StreamCursor.h" // IWYU pragma: export
 #include "spindlecore/StreamValidator.h" // IWYU pragma: export
 #include "spindlecore/Table.h" // IWYU pragma: export
--- a/src/core/ChainPlanner.cpp
+++ b/src/core/ChainPlanner.cpp
@@ -116,28 +116,36 @@
     collect(now, pool, request, random);
     if (pool.kind == RouteKind::Service)
         return planService(now, pool, request);
+    return search(pool, request);
+}
+
+// Dynamic programming over the segments between boundaries. For each candidate, the cheapest way to have it run the
+// segment that ends at a boundary is kept; it continues the candidate's own run or takes over from another candidate.
+// The cost is the number of segments times the square of the candidates that hold a segment.
+Plan ChainPlanner::search(const Pool& pool, const PlanRequest& request)
+{
     m_steps.clear();
     const double none = std::numeric_limits<double>::max();
-    int32_t best = -1;
-    double bestCost = none;
     auto last = static_cast<uint32_t>(pool.boundaries.size() - 1);
     double stageLayers = last ? static_cast<double>(pool.layers) / last : 0;
-    // Boundaries are visited in ascending order, so that all steps that end at one are known when it is left.
-    for (uint32_t from = 0; from < last; ++from) {
+    size_t previousBegin = 0;
+    size_t previousEnd = 0;
+    for (uint32_t segment = 0; segment < last; ++segment) {
+        double layers = pool.boundaries[segment + 1] - pool.boundaries[segment];
         for (uint32_t i = 0; i < m_candidates.size(); ++i) {
             const auto& candidate = m_candidates[i];
-            if (candidate.group->firstBoundary > from || candidate.group->endBoundary <= from)
+            if (candidate.group->firstBoundary > segment || candidate.group->endBoundary <= segment)
                 continue;
-            double before = from ? none : 0;
+            double before = segment ? none : candidate.wait;
             int32_t previous = -1;
-            for (size_t step = 0; from && step < m_steps.size(); ++step) {
-                if (m_steps[step].to != from || m_steps[step].candidate == i)
-                    continue;
-                const auto& earlier = m_candidates[m_steps[step].candidate];
-                double link = m_model.linkTime(m_book[earlier.index], m_book[candidate.index]);
-                double mismatch = mismatchWeight * stageLayers * std::abs(earlier.decode - candidate.decode);
-                double cost
-                    = m_steps[step].cost + link * (request.tokens + request.promptTokens) + mismatch * request.tokens;
+            for (size_t step = previousBegin; step < previousEnd; ++step) {
+                double cost = m_steps[step].cost;
+                if (m_steps[step].candidate != i) {
+                    const auto& earlier = m_candidates[m_steps[step].candidate];
+                    double link = m_model.linkTime(m_book[earlier.index], m_book[candidate.index]);
+                    double mismatch = mismatchWeight * stageLayers * std::abs(earlier.decode - candidate.decode);
+                    cost += candidate.wait + link * (request.tokens + request.promptTokens) + mismatch * request.tokens;
+                }
                 if (cost < before) {
                     before = cost;
                     previous = static_cast<int32_t>(step);
@@ -145,32 +153,53 @@
             }
             if (before == none)
                 continue;
-            for (uint32_t to = from + 1; to <= std::min(last, candidate.group->endBoundary); ++to) {
-                double layers = pool.boundaries[to] - pool.boundaries[from];
-                double cost
-                    = before + candidate.wait + layers * (candidate.prefill + request.tokens * candidate.decode);
-                m_steps.push_back({ cost, previous, i, from, to });
-                if (to == last && cost < bestCost) {
-                    bestCost = cost;
-                    best = static_cast<int32_t>(m_steps.size() - 1);
-                }
-            }
+            double cost = before + layers * (candidate.prefill + request.tokens * candidate.decode);
+            m_steps.push_back({ cost, previous, i, segment, segment + 1 });
         }
+        previousBegin = previousEnd;
+        previousEnd = m_steps.size();
+        if (previousBegin == previousEnd)
+            return {};
+    }
+    int32_t best = -1;
+    for (size_t step = previousBegin; step < previousEnd; ++step) {
+        if (best < 0 || m_steps[step].cost < m_steps[static_cast<size_t>(best)].cost)
+            best = static_cast<int32_t>(step);
     }
     return trace(pool, request, best);
 }
 
+// Joins the segments that follow each other at one candidate. A candidate that would appear twice runs what lies
+// between as well: its range is contiguous, and an endpoint may appear only once in a chain.
+std::vector<ChainPlanner::Run> ChainPlanner::runsOf(int32_t last) const
+{
+    std::vector<Run> runs;
+    for (int32_t step = last; step >= 0; step = m_steps[static_cast<size_t>(step)].previous) {
+        const auto& it = m_steps[static_cast<size_t>(step)];
+        runs.push_back({ it.candidate, it.from, it.to });
+    }
+    std::reverse(runs.begin(), runs.end());
+    std::vector<Run> joined;
+    for (const auto& run : runs) {
+        auto same
+            = std::find_if(joined.begin(), joined.end(), [&](const Run& it) { return it.candidate == run.candidate; });
+        if (same == joined.end()) {
+            joined.push_back(run);
+            continue;
+        }
+        same->to = run.to;
+        joined.erase(same + 1, joined.end());
+    }
+    return joined;
+}
+
 Plan ChainPlanner::trace(const Pool& pool, const PlanRequest& request, int32_t last) const
 {
     Plan plan;
-    std::vector<const Step*> path;
-    for (int32_t step = last; step >= 0; step = m_steps[static_cast<size_t>(step)].previous)
-        path.push_back(&m_steps[static_cast<size_t>(step)]);
-    std::reverse(path.begin(), path.end());
     double uncached = 0;
-    for (const auto* step : path) {
-        const auto& candidate = m_candidates[step->candidate];
-        LayerRange layers { pool.boundaries[step->from], pool.boundaries[step->to] };
+    for (const auto& run : runsOf(last)) {
+        const auto& candidate = m_candidates[run.candidate];
+        LayerRange layers { pool.boundaries[run.from], pool.boundaries[run.to] };
         if (!plan.hops.empty()) {
             double link = m_model.linkTime(m_book[plan.hops.back()], m_book[candidate.index]);
             plan.perToken += link;
--- /dev/null
+++ b/src/core/placement/LayerPlacement.cpp
@@ -0,0 +1,286 @@
+// Placement of layers: a first copy in proportion to memory, then gaps, then further copies of the scarcest layers.
+
+#include "spindlecore/LayerPlacement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace jacinthspindle {
+
+namespace {
+
+    // Part of an engine's memory that a copy of the layers may take. The rest holds the KV cache of requests: an engine
+    // that is filled with weights preempts requests instead of serving them.
+    constexpr double weightShare = 0.7;
+    // An engine that extends its range into a gap may fill more, since a missing layer stops the whole data centre.
+    constexpr double extendedWeightShare = 0.85;
+
+    struct Engine {
+        const PlacedEngine* known = nullptr;
+        LayerRange layers; // As known, then as ordered.
+        uint32_t usual = 0; // Layers within weightShare.
+        uint32_t extended = 0; // Layers within extendedWeightShare.
+        bool isOrdered = false;
+
+        bool isEmpty() const { return !layers.count() && !known->isBusy && !known->isLeaving; }
+        bool covers() const { return layers.count() && !known->isLeaving; }
+    };
+
+    uint32_t capacityWithin(const ModelLayout& model, const std::string& accelerator, double share)
+    {
+        auto kind = model.kinds.find(accelerator);
+        if (kind == model.kinds.end() || model.layerMb <= 0)
+            return 0;
+        return static_cast<uint32_t>(kind->second.memoryMb * share / model.layerMb);
+    }
+
+    double memoryOf(const ModelLayout& model, const Engine& engine)
+    {
+        auto kind = model.kinds.find(engine.known->accelerator);
+        return kind == model.kinds.end() ? 0 : kind->second.memoryMb;
+    }
+
+    std::vector<uint32_t> countCopies(const ModelLayout& model, const std::vector<Engine*>& engines)
+    {
+        std::vector<uint32_t> copies(model.layers);
+        for (const auto* it : engines) {
+            if (!it->covers())
+                continue;
+            for (uint32_t layer = it->layers.first; layer < std::min(it->layers.end, model.layers); ++layer)
+                ++copies[layer];
+        }
+        return copies;
+    }
+
+    void order(Engine& engine, LayerRange layers)
+    {
+        engine.layers = layers;
+        engine.isOrdered = true;
+    }
+
+    // Cuts the model into ranges in proportion to memory, so that every stage has KV memory for about as many tokens.
+    // Does nothing when the memory of the engines holds no whole copy.
+    void placeWholeCopy(const ModelLayout& model, std::vector<Engine*> engines)
+    {
+        double memory = 0;
+        uint32_t capacity = 0;
+        for (const auto* it : engines) {
+            memory += memoryOf(model, *it);
+            capacity += layerCapacity(model, it->known->accelerator);
+        }
+        if (capacity < model.layers)
+            return;
+        // The fastest engine comes first: as the head of chains it also holds the slots of all their requests.
+        std::sort(engines.begin(), engines.end(), [&](const Engine* a, const Engine* b) {
+            double memoryA = memoryOf(model, *a);
+            double memoryB = memoryOf(model, *b);
+            return memoryA != memoryB ? memoryA > memoryB : a->known->endpoint < b->known->endpoint;
+        });
+        uint32_t first = 0;
+        double before = 0;
+        for (size_t i = 0; i < engines.size() && first < model.layers; ++i) {
+            auto& engine = *engines[i];
+            before += memoryOf(model, engine);
+            auto end = static_cast<uint32_t>(std::lround(model.layers * before / memory));
+            // What the engines behind can hold bounds how little this one may take.
+            uint32_t behind = 0;
+            for (size_t k = i + 1; k < engines.size(); ++k)
+                behind += layerCapacity(model, engines[k]->known->accelerator);
+            uint32_t least = model.layers > behind ? model.layers - behind : 0;
+            uint32_t most = first + layerCapacity(model, engine.known->accelerator);
+            end = std::min({ std::max(end, least), most, model.layers });
+            if (end > first)
+                order(engine, { first, end });
+            first = std::max(first, end);
+        }
+    }
+
+    // The window of n layers with the fewest copies; copies in the own data centre weigh more than those elsewhere.
+    LayerRange scarcestWindow(const std::vector<uint32_t>& local, const std::vector<uint32_t>& all, uint32_t n)
+    {
+        auto layers = static_cast<uint32_t>(local.size());
+        // A layer without a copy in the data centre outweighs any number of layers with one.
+        constexpr double missingWeight = 1000;
+        auto gain = [&](uint32_t layer) {
+            double value = 1.0 / (1 + local[layer]) + 0.1 / (1 + all[layer]);
+            return local[layer] ? value : value + missingWeight;
+        };
+        LayerRange best { 0, n };
+        double bestGain = -1;
+        for (uint32_t first = 0; first + n <= layers; ++first) {
+            double sum = 0;
+            for (uint32_t layer = first; layer < first + n; ++layer)
+                sum += gain(layer);
+            if (sum > bestGain + 1e-9) {
+                bestGain = sum;
+                best = { first, first + n };
+            }
+        }
+        return best;
+    }
+
+    // Layers at the edges that have a copy already are left out, so that their memory serves requests.
+    LayerRange trimmed(LayerRange range, const std::vector<uint32_t>& copies)
+    {
+        auto isMissing = [&](uint32_t layer) { return copies[layer] == 0; };
+        bool hasMissing = false;
+        for (uint32_t layer = range.first; layer < range.end; ++layer)
+            hasMissing = hasMissing || isMissing(layer);
+        if (!hasMissing)
+            return range;
+        while (!isMissing(range.first))
+            ++range.first;
+        while (!isMissing(range.end - 1))
+            --range.end;
+        return range;
+    }
+
+    void fillEmpty(const ModelLayout& model, const std::vector<Engine*>& local, const std::vector<Engine*>& all)
+    {
+        std::vector<Engine*> empty;
+        for (auto* it : local) {
+            if (it->isEmpty() && it->usual)
+                empty.push_back(it);
+        }
+        // Large engines first, so that a wide gap is closed by one order.
+        std::stable_sort(
+            empty.begin(), empty.end(), [](const Engine* a, const Engine* b) { return a->usual > b->usual; });
+        for (auto* it : empty) {
+            auto copies = countCopies(model, local);
+            auto window = scarcestWindow(copies, countCopies(model, all), std::min(it->usual, model.layers));
+            order(*it, trimmed(window, copies));
+        }
+    }
+
+    // Moves the edge of the best neighbour one layer into a gap; false when no neighbour has room.
+    bool extendInto(const std::vector<Engine*>& local, uint32_t layer)
+    {
+        Engine* best = nullptr;
+        for (auto* it : local) {
+            bool touches = it->layers.end == layer || it->layers.first == layer + 1;
+            if (!it->covers() || it->known->isBusy || !touches || it->layers.count() >= it->extended)
+                continue;
+            if (!best || it->extended - it->layers.count() > best->extended - best->layers.count())
+                best = it;
+        }
+        if (!best)
+            return false;
+        auto range = best->layers;
+        range.first = std::min(range.first, layer);
+        range.end = std::max(range.end, layer + 1);
+        order(*best, range);
+        return true;
+    }
+
+    bool closeGap(const std::vector<Engine*>& local, LayerRange gap)
+    {
+        while (gap.count()) {
+            if (extendInto(local, gap.first))
+                ++gap.first;
+            else if (extendInto(local, gap.end - 1))
+                --gap.end;
+            else
+                return false;
+        }
+        return true;
+    }
+
+    std::vector<LayerRange> gapsOf(const std::vector<uint32_t>& copies)
+    {
+        std::vector<LayerRange> gaps;
+        for (uint32_t layer = 0; layer < copies.size(); ++layer) {
+            if (copies[layer])
+                continue;
+            if (gaps.empty() || gaps.back().end != layer)
+                gaps.push_back({ layer, layer });
+            ++gaps.back().end;
+        }
+        return gaps;
+    }
+
+    // Closes gaps from both sides. A gap that the neighbours cannot close as a whole is left alone: chains use another
+    // data centre for it, and a smaller gap would not spare them that.
+    void extendNeighbours(const ModelLayout& model, const std::vector<Engine*>& local)
+    {
+        for (const auto& gap : gapsOf(countCopies(model, local))) {
+            std::vector<Engine> before;
+            for (const auto* it : local)
+                before.push_back(*it);
+            if (closeGap(local, gap))
+                continue;
+            for (size_t i = 0; i < local.size(); ++i)
+                *local[i] = before[i];
+        }
+    }
+
+    std::vector<Engine> enginesOf(const ModelLayout& model, const std::vector<PlacedEngine>& known)
+    {
+        std::vector<Engine> engines;
+        for (const auto& it : known) {
+            engines.push_back({ &it, it.layers, capacityWithin(model, it.accelerator, weightShare),
+                capacityWithin(model, it.accelerator, extendedWeightShare) });
+        }
+        return engines;
+    }
+
+    std::map<DataCentreId, std::vector<Engine*>> byDataCentre(std::vector<Engine>& engines)
+    {
+        std::map<DataCentreId, std::vector<Engine*>> groups;
+        for (auto& it : engines)
+            groups[it.known->dataCentre].push_back(&it);
+        return groups;
+    }
+
+} // namespace
+
+uint32_t layerCapacity(const ModelLayout& model, const std::string& accelerator)
+{
+    return capacityWithin(model, accelerator, 1);
+}
+
+std::vector<PlacementOrder> planPlacement(const ModelLayout& model, const std::vector<PlacedEngine>& known)
+{
+    auto engines = enginesOf(model, known);
+    std::vector<Engine*> all;
+    for (auto& it : engines)
+        all.push_back(&it);
+    for (auto& [dataCentre, local] : byDataCentre(engines)) {
+        std::vector<Engine*> staying;
+        std::copy_if(local.begin(), local.end(), std::back_inserter(staying),
+            [](const Engine* it) { return !it->known->isLeaving; });
+        bool isNew = std::none_of(
+            staying.begin(), staying.end(), [](const Engine* it) { return it->layers.count() || it->known->isBusy; });
+        if (isNew)
+            placeWholeCopy(model, staying);
+        fillEmpty(model, local, all);
+        extendNeighbours(model, local);
+    }
+    std::vector<PlacementOrder> orders;
+    for (const auto& it : engines) {
+        if (it.isOrdered)
+            orders.push_back({ it.known->endpoint, it.layers });
+    }
+    return orders;
+}
+
+double placementTokens(const ModelLayout& model, const std::vector<PlacedEngine>& known)
+{
+    auto engines = enginesOf(model, known);
+    double tokens = 0;
+    for (const auto& [dataCentre, local] : byDataCentre(engines)) {
+        std::vector<double> perLayer(model.layers);
+        for (const auto* it : local) {
+            if (!it->covers())
+                continue;
+            double freeMb = memoryOf(model, *it) - it->layers.count() * model.layerMb;
+            double perToken = model.tokenKvBytes / model.layers * it->layers.count();
+            for (uint32_t layer = it->layers.first; layer < std::min(it->layers.end, model.layers); ++layer)
+                perLayer[layer] += std::max(0.0, freeMb) * 1e6 / perToken;
+        }
+        tokens += perLayer.empty() ? 0 : *std::min_element(perLayer.begin(), perLayer.end());
+    }
+    return tokens;
+}
+
+} // namespace jacinthspindle
--- /dev/null
+++ b/src/core/placement/PlannerLease.cpp
@@ -0,0 +1,75 @@
+// Gaining, renewing and losing the planner's lease.
+
+#include "spindlecore/PlannerLease.h"
+
+#include <utility>
+
+namespace jacinthspindle {
+
+PlannerLease::PlannerLease(PlannerLeaseConfig config)
+    : m_config(std::move(config))
+{
+}
+
+void PlannerLease::enter(State state, Instant nextAt)
+{
+    m_state = state;
+    m_nextAt = nextAt;
+}
+
+PlannerLease::Action PlannerLease::next(Instant now)
+{
+    if (now < m_nextAt)
+        return {};
+    if (m_state == State::Claiming || m_state == State::Holding)
+        return Write { m_version };
+    return Read {};
+}
+
+void PlannerLease::wasRead(Instant now, uint64_t version, const std::string& holder)
+{
+    bool isUnchanged = m_state == State::Watching && version == m_version;
+    m_version = version;
+    if (version && holder == m_config.holder) {
+        // A write whose answer was lost took effect. It is renewed at once, since the time of that write is not known.
+        return enter(State::Holding, now);
+    }
+    m_confirmedAt.reset();
+    if (!version)
+        return enter(State::Claiming, now + m_config.firstClaimDelay);
+    if (!isUnchanged)
+        m_versionSeenAt = now;
+    if (now - m_versionSeenAt >= m_config.takeoverAfter)
+        return enter(State::Claiming, now);
+    enter(State::Watching, now + m_config.watchEvery);
+}
+
+void PlannerLease::readFailed(Instant now)
+{
+    // While the store does not answer, the holder cannot renew either.
+    m_versionSeenAt = now;
+    m_nextAt = now + m_config.retryEvery;
+}
+
+void PlannerLease::wasWritten(Instant sentAt, uint64_t version)
+{
+    if (!isHolder(sentAt))
+        ++m_terms;
+    m_version = version;
+    m_confirmedAt = sentAt;
+    enter(State::Holding, sentAt + m_config.renewEvery);
+}
+
+void PlannerLease::wasRejected(Instant now)
+{
+    m_confirmedAt.reset();
+    enter(State::Unknown, now);
+}
+
+void PlannerLease::writeFailed(Instant now)
+{
+    // The lost write may have taken effect, so that the version of the row is not known.
+    enter(State::Unknown, now + m_config.retryEvery);
+}
+
+} // namespace jacinthspindle
--- /dev/null
+++ b/src/router/ClientSession.cpp
@@ -0,0 +1,315 @@
+// Reading of requests, their checks, and writing of answers.
+
+#include "router/ClientSession.h"
+
+#include "router/Traffic.h"
+
+#include <charconv>
+
+namespace jacinthspindle::router {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // A configuration that was confirmed longer ago than the revocation bound less this margin decides about no key:
+    // the margin covers the time between the check and the start of the work at the endpoint.
+    constexpr milliseconds revocationMargin { 500 };
+    // Older configurations do not prove that a route or key does not exist: it may have been added since.
+    constexpr milliseconds absenceProof { 1900 };
+    // For refusals because of a configuration that is too old; another daemon may know a newer one.
+    constexpr milliseconds staleRetryAfter { 100 };
+    constexpr milliseconds defaultDeadline { 30000 };
+    // Reading a response takes no longer than this for a caller that reads at all.
+    constexpr milliseconds writeTimeout { 10000 };
+
+    template <typename Number> std::optional<Number> parseNumber(beast::string_view text)
+    {
+        Number value = 0;
+        auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (text.empty() || ec != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return value;
+    }
+
+    std::string hostWithoutPort(beast::string_view host)
+    {
+        return std::string(host.substr(0, host.find(':')));
+    }
+
+    // "prompt,output"; a request that states nothing counts as small.
+    void readTokens(beast::string_view text, RoutedRequest& request)
+    {
+        auto comma = text.find(',');
+        if (comma == beast::string_view::npos)
+            return;
+        request.promptTokens = parseNumber<uint32_t>(text.substr(0, comma)).value_or(0);
+        request.maxTokens = parseNumber<uint32_t>(text.substr(comma + 1)).value_or(0);
+    }
+
+    std::optional<std::string> keyOf(const http::request<http::string_body>& request)
+    {
+        constexpr beast::string_view scheme = "Bearer ";
+        auto value = request[http::field::authorization];
+        if (value.size() <= scheme.size() || !beast::iequals(value.substr(0, scheme.size()), scheme))
+            return std::nullopt;
+        return std::string(value.substr(scheme.size()));
+    }
+
+    // Requests that two parsers could read differently are not passed on.
+    bool isAmbiguous(const http::request<http::string_body>& request)
+    {
+        auto encoding = request[http::field::transfer_encoding];
+        return request.count(http::field::host) != 1 || request.count(http::field::transfer_encoding) > 1
+            || (!encoding.empty() && !beast::iequals(encoding, "chunked")) || request.target().empty()
+            || request.target().front() != '/';
+    }
+
+} // namespace
+
+ClientSession::ClientSession(Traffic& traffic, tcp::socket socket)
+    : m_traffic(traffic)
+    , m_stream(std::move(socket))
+{
+    tuneSocket(m_stream.socket());
+}
+
+void ClientSession::closeIfIdle()
+{
+    if (m_isIdle)
+        m_stream.close();
+}
+
+bool ClientSession::keepsConnection() const
+{
+    return !m_wantsClose && !m_traffic.isDraining();
+}
+
+net::awaitable<void> ClientSession::run()
+{
+    auto self = shared_from_this();
+    while (co_await awaitFirstByte()) {
+        auto request = co_await readRequest();
+        if (!request)
+            break;
+        bool isAnswered = co_await serve(std::move(*request));
+        if (!isAnswered)
+            break;
+        if (m_wantsClose || (m_traffic.isDraining() && !m_buffer.size()))
+            break;
+    }
+    ErrorCode ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.close();
+    m_traffic.leave(self);
+}
+
+net::awaitable<bool> ClientSession::awaitFirstByte()
+{
+    if (m_buffer.size())
+        co_return true;
+    m_isIdle = true;
+    m_buffer = beast::flat_buffer();
+    const auto& view = m_traffic.view();
+    m_stream.expires_after(view ? view->configuration->limits.idleTimeout : CallerLimits().idleTimeout);
+    ErrorCode ec;
+    constexpr size_t firstRead = 2048;
+    auto n = co_await m_stream.async_read_some(m_buffer.prepare(firstRead), awaitInto(ec));
+    m_buffer.commit(n);
+    m_isIdle = !n;
+    co_return !ec && n;
+}
+
+net::awaitable<std::optional<ClientSession::Request>> ClientSession::readRequest()
+{
+    const auto view = m_traffic.view();
+    const auto limits = view ? view->configuration->limits : CallerLimits();
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits.maxHeaderBytes);
+    parser.body_limit(limits.maxBodyBytes);
+    ErrorCode ec;
+    m_stream.expires_after(limits.headerTimeout);
+    co_await http::async_read_header(m_stream, m_buffer, parser, awaitInto(ec));
+    if (ec)
+        co_return co_await rejectUnread(ec);
+    m_isOldVersion = parser.get().version() < 11;
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> goOn { http::status::continue_, 11 };
+        co_await http::async_write(m_stream, goOn, awaitInto(ec));
+    }
+    m_stream.expires_after(limits.idleTimeout);
+    if (!ec)
+        co_await http::async_read(m_stream, m_buffer, parser, awaitInto(ec));
+    if (ec)
+        co_return co_await rejectUnread(ec);
+    m_stream.expires_never();
+    m_wantsClose = !parser.keep_alive();
+    co_return parser.release();
+}
+
+// Answers a request that cannot be read; the connection ends with it.
+net::awaitable<std::optional<ClientSession::Request>> ClientSession::rejectUnread(const ErrorCode& ec)
+{
+    m_wantsClose = true;
+    if (ec == http::error::end_of_stream || ec.category() == net::error::get_system_category())
+        co_return std::nullopt;
+    if (ec == beast::error::timeout) {
+        // The stream has closed the socket, so that no answer can be given; the caller sees the connection end.
+        m_traffic.context().journal.write(LineKind::Decision, "request-read-timeout");
+        co_return std::nullopt;
+    }
+    if (ec == http::error::header_limit)
+        co_await reject(ResultCode::RequestTooLarge, 431, {}, std::nullopt);
+    else if (ec == http::error::body_limit)
+        co_await reject(ResultCode::RequestTooLarge, 413, {}, std::nullopt);
+    else
+        co_await reject(ResultCode::RequestMalformed, 400, {}, std::nullopt);
+    co_return std::nullopt;
+}
+
+net::awaitable<bool> ClientSession::reject(
+    ResultCode code, unsigned status, std::string wireId, std::optional<Duration> retryAfter)
+{
+    http::response<http::string_body> answer { static_cast<http::status>(status), 11 };
+    if (!wireId.empty())
+        answer.set(m_traffic.context().settings.headers.requestId, wireId);
+    if (retryAfter)
+        answer.set(http::field::retry_after, std::to_string(std::chrono::duration<double>(*retryAfter).count()));
+    answer.set(http::field::content_type, "text/plain");
+    answer.body() = std::string(resultName(code)) + "\n";
+    answer.prepare_payload();
+    m_traffic.context().metrics.addResult(code);
+    auto age = m_traffic.configurationAge();
+    m_traffic.context().journal.write(LineKind::Decision, "rejected",
+        { { "request", wireId }, { "code", static_cast<int>(code) }, { "result", resultName(code) },
+            { "status", status },
+            { "configuration_version", m_traffic.view() ? m_traffic.view()->configuration->version : 0 },
+            { "configuration_age_ms", age == Duration::max() ? -1 : millisecondsOf(age) } });
+    co_return co_await sendWhole(std::move(answer));
+}
+
+net::awaitable<bool> ClientSession::serve(Request message)
+{
+    const auto& names = m_traffic.context().settings.headers;
+    const auto& settings = m_traffic.context().settings;
+    auto arrivedAt = m_traffic.context().clock.now();
+    std::string wireId(message[names.requestId]);
+    const auto view = m_traffic.view();
+    auto age = m_traffic.configurationAge();
+    if (!view)
+        co_return co_await reject(ResultCode::TableNotReady, 503, wireId, staleRetryAfter);
+    if (isAmbiguous(message) || wireId.empty()) {
+        m_wantsClose = true;
+        co_return co_await reject(ResultCode::RequestMalformed, 400, wireId, std::nullopt);
+    }
+    std::string target(message.target());
+    const auto* route = view->routes->find(hostWithoutPort(message[http::field::host]), target);
+    bool provesAbsence = age <= absenceProof;
+    if (!route && !provesAbsence)
+        co_return co_await reject(ResultCode::TableNotReady, 503, wireId, staleRetryAfter);
+    if (!route)
+        co_return co_await reject(ResultCode::RouteUnknown, 404, wireId, std::nullopt);
+    RoutedRequest request;
+    request.workspace = view->configuration->workspaces.front(); // Of public routes.
+    if (!route->isPublic) {
+        if (age > settings.keyRevocationBound - revocationMargin)
+            co_return co_await reject(ResultCode::TableNotReady, 503, wireId, staleRetryAfter);
+        auto key = keyOf(message);
+        auto holder = key ? view->configuration->workspaceByKey.find(*key) : view->configuration->workspaceByKey.end();
+        if (holder == view->configuration->workspaceByKey.end() && key && !provesAbsence)
+            co_return co_await reject(ResultCode::TableNotReady, 503, wireId, staleRetryAfter);
+        if (holder == view->configuration->workspaceByKey.end())
+            co_return co_await reject(ResultCode::WorkspaceUnknown, 401, wireId, std::nullopt);
+        request.workspace = holder->second;
+    }
+    request.wireId = wireId;
+    request.id = m_traffic.uniqueId(wireId);
+    request.route = *route;
+    request.service = chooseService(*route, RequestId(wireId));
+    const auto* service = view->configuration->findService(request.service);
+    request.isModel = service && service->model;
+    request.arrivedAt = arrivedAt;
+    auto callerWaits = parseNumber<uint32_t>(message[names.deadline]);
+    auto deadline = callerWaits ? milliseconds(*callerWaits) : defaultDeadline;
+    request.deadline = arrivedAt + std::min(deadline, route->timeout);
+    request.lastEvent = parseNumber<uint64_t>(message[names.lastEvent]);
+    readTokens(message[names.tokens], request);
+    request.message = std::move(message);
+
+    auto exchange = std::make_shared<Exchange>(m_traffic.context(), *this, std::move(request));
+    m_traffic.enter(exchange);
+    watchCaller(exchange);
+    auto end = co_await exchange->run();
+    m_traffic.leave(exchange->id());
+    ErrorCode ignored;
+    m_stream.socket().cancel(ignored);
+    if (end == ExchangeEnd::CallerLost)
+        m_wantsClose = true;
+    co_return end == ExchangeEnd::Answered;
+}
+
+// Notices that the caller closes its connection while its request is in progress.
+void ClientSession::watchCaller(const std::shared_ptr<Exchange>& exchange)
+{
+    // Bytes of a next request hide the end of the connection; it is then noticed when the answer is written.
+    if (m_buffer.size())
+        return;
+    m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange](const ErrorCode& ec) {
+        if (ec)
+            return;
+        char byte = 0;
+        auto n = ::recv(self->m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        bool isOpen = n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+        if (!isOpen)
+            exchange->callerGone();
+    });
+}
+
+net::awaitable<bool> ClientSession::sendWhole(http::response<http::string_body> answer)
+{
+    if (!keepsConnection())
+        m_wantsClose = true;
+    answer.keep_alive(!m_wantsClose);
+    m_stream.expires_after(writeTimeout);
+    ErrorCode ec;
+    co_await http::async_write(m_stream, answer, awaitInto(ec));
+    m_stream.expires_never();
+    co_return !ec;
+}
+
+net::awaitable<bool> ClientSession::beginParts(http::response_header<> header)
+{
+    if (!keepsConnection() || m_isOldVersion)
+        m_wantsClose = true;
+    http::response<http::empty_body> answer { std::move(header) };
+    answer.keep_alive(!m_wantsClose);
+    answer.chunked(!m_isOldVersion);
+    http::response_serializer<http::empty_body> serializer { answer };
+    m_stream.expires_after(writeTimeout);
+    ErrorCode ec;
+    co_await http::async_write_header(m_stream, serializer, awaitInto(ec));
+    co_return !ec;
+}
+
+net::awaitable<bool> ClientSession::sendPart(std::string_view bytes)
+{
+    m_stream.expires_after(writeTimeout);
+    ErrorCode ec;
+    auto buf = net::buffer(bytes.data(), bytes.size());
+    if (m_isOldVersion)
+        co_await net::async_write(m_stream, buf, awaitInto(ec));
+    else
+        co_await net::async_write(m_stream, http::make_chunk(buf), awaitInto(ec));
+    co_return !ec;
+}
+
+net::awaitable<bool> ClientSession::endParts()
+{
+    ErrorCode ec;
+    if (!m_isOldVersion)
+        co_await net::async_write(m_stream, http::make_chunk_last(), awaitInto(ec));
+    m_stream.expires_never();
+    co_return !ec;
+}
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/ClientSession.h
@@ -0,0 +1,47 @@
+// One connection of a caller: reads requests, checks route and key, and writes answers.
+
+#pragma once
+
+#include "router/Exchange.h"
+
+namespace jacinthspindle::router {
+
+class Traffic;
+
+// Belongs to the traffic thread.
+class ClientSession final : public std::enable_shared_from_this<ClientSession>, public CallerSink {
+public:
+    ClientSession(Traffic&, tcp::socket);
+
+    // Serves the connection until it ends.
+    net::awaitable<void> run();
+
+    // Closes the connection unless a request is in progress or on its way in.
+    void closeIfIdle();
+    bool isIdle() const { return m_isIdle; }
+
+    net::awaitable<bool> sendWhole(http::response<http::string_body>) override;
+    net::awaitable<bool> beginParts(http::response_header<>) override;
+    net::awaitable<bool> sendPart(std::string_view bytes) override;
+    net::awaitable<bool> endParts() override;
+
+private:
+    using Request = http::request<http::string_body>;
+
+    net::awaitable<bool> awaitFirstByte();
+    net::awaitable<std::optional<Request>> readRequest();
+    net::awaitable<std::optional<Request>> rejectUnread(const ErrorCode&);
+    net::awaitable<bool> serve(Request);
+    net::awaitable<bool> reject(ResultCode, unsigned status, std::string wireId, std::optional<Duration> retryAfter);
+    void watchCaller(const std::shared_ptr<Exchange>&);
+    bool keepsConnection() const;
+
+    Traffic& m_traffic;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    bool m_isIdle = true; // No byte of a request has arrived since the last answer.
+    bool m_wantsClose = false; // The caller asked for it, or its connection cannot go on.
+    bool m_isOldVersion = false; // HTTP/1.0: answers have no chunks.
+};
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/Control.cpp
@@ -0,0 +1,175 @@
+// Following the platform and running the decision core.
+
+#include "router/Control.h"
+
+namespace jacinthspindle::router {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // A leaving endpoint receives nothing later than 2 s after it said so; a read, its answer and the requests that are
+    // under way fit twice into that time.
+    constexpr milliseconds listInterval { 800 };
+    // While there are no endpoints yet, so that the layout is made well before the first caller.
+    constexpr milliseconds firstListInterval { 250 };
+    constexpr milliseconds retryInterval { 250 };
+    constexpr milliseconds tickInterval { 100 };
+
+    CoreConfig coreConfigOf(const RouterSettings& settings)
+    {
+        CoreConfig config;
+        config.dataCentre = settings.dataCentre;
+        config.host = settings.host;
+        config.retryPercent = static_cast<uint32_t>(settings.retryShare * 100);
+        return config;
+    }
+
+} // namespace
+
+Control::Control(net::io_context& io, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
+    const RouterSettings& settings, ControlPorts ports, PlannerLeaseConfig lease, ConfigurationAge& age)
+    : m_io(io)
+    , m_clock(clock)
+    , m_journal(journal)
+    , m_metrics(metrics)
+    , m_settings(settings)
+    , m_ports(ports)
+    , m_age(age)
+    , m_core(coreConfigOf(settings))
+    , m_planner(io, clock, journal, ports.lease, ports.engines, m_directory, std::move(lease))
+{
+}
+
+void Control::start(Traffic& traffic)
+{
+    m_traffic = &traffic;
+    net::co_spawn(m_io, followConfiguration(), net::detached);
+    net::co_spawn(m_io, followEndpoints(), net::detached);
+    net::co_spawn(m_io, tick(), net::detached);
+    net::co_spawn(m_io, m_planner.run(), net::detached);
+}
+
+void Control::postInput(CoreInput input)
+{
+    net::post(m_io, [this, input = std::move(input)] { apply(input); });
+}
+
+void Control::reportSilent(EndpointId id)
+{
+    net::post(m_io, [this, id = std::move(id)] {
+        m_directory.markSilent(id);
+        apply(EndpointStateSeen { id, EndpointStateSource::Engine, EndpointLife::Down });
+    });
+}
+
+void Control::apply(const CoreInput& input)
+{
+    std::vector<CoreDecision> decisions;
+    auto began = m_clock.now();
+    m_core.apply(began, input, decisions);
+    m_metrics.add(daemon::Counter::ControlInputs);
+    m_metrics.observe(daemon::Distribution::DecisionTime, m_clock.now() - began);
+    if (!decisions.empty())
+        m_traffic->deliver(std::move(decisions));
+}
+
+void Control::noteDependency(bool& isUp, bool isUpNow, const char* name, const Reason& reason)
+{
+    if (!isUpNow)
+        m_metrics.add(daemon::Counter::PlatformFailures);
+    if (isUp == isUpNow)
+        return;
+    isUp = isUpNow;
+    m_journal.write(isUpNow ? LineKind::Info : LineKind::Warning, isUpNow ? "dependency-regained" : "dependency-lost",
+        { { "dependency", name }, { "code", static_cast<int>(reason.code) }, { "reason", reason.text } });
+}
+
+net::awaitable<void> Control::followConfiguration()
+{
+    net::steady_timer timer(m_io);
+    while (true) {
+        auto sighting = co_await m_ports.configurations.next();
+        noteDependency(
+            m_areConfigurationsUp, sighting.has_value(), "configuration", m_ports.configurations.lastReason());
+        if (sighting) {
+            adopt(sighting->configuration);
+            // Without a configuration there is nothing whose age counts.
+            if (m_configuration)
+                m_age.confirm(sighting->confirmedAt);
+        }
+        if (sighting && m_configuration)
+            continue;
+        timer.expires_after(retryInterval);
+        ErrorCode ec;
+        co_await timer.async_wait(awaitInto(ec));
+    }
+}
+
+void Control::adopt(std::shared_ptr<const RoutingConfiguration> configuration)
+{
+    // Versions never go back within the life of a process.
+    if (!configuration || (m_configuration && configuration->version <= m_configuration->version))
+        return;
+    m_configuration = std::move(configuration);
+    m_routes = std::make_shared<const RouteIndex>(*m_configuration);
+    m_planner.adopt(m_configuration);
+    m_metrics.add(daemon::Counter::TablesAdopted);
+    m_journal.write(LineKind::Info, "configuration-adopted",
+        { { "version", m_configuration->version }, { "routes", m_configuration->routes.size() },
+            { "services", m_configuration->services.size() }, { "keys", m_configuration->workspaceByKey.size() } });
+    publish();
+}
+
+void Control::publish()
+{
+    if (!m_configuration)
+        return;
+    auto endpoints = m_directory.endpoints();
+    auto view = std::make_shared<RoutingView>();
+    view->configuration = m_configuration;
+    view->routes = m_routes;
+    for (const auto& it : endpoints)
+        view->endpoints.emplace(it.endpoint, it);
+    // The traffic thread receives the endpoints' addresses before the decisions that name them.
+    m_traffic->publish(view);
+    auto table = std::make_shared<const Table>(buildTable(*m_configuration, endpoints, ++m_revision));
+    apply(TableAdopted { table });
+}
+
+net::awaitable<void> Control::followEndpoints()
+{
+    net::steady_timer timer(m_io);
+    while (true) {
+        auto listed = co_await m_ports.endpoints.list();
+        noteDependency(m_areEndpointsUp, listed.has_value(), "endpoint-list", m_ports.endpoints.lastReason());
+        if (!listed)
+            m_directory.missed();
+        else if (m_directory.update(m_clock.now(), *listed)) {
+            m_journal.write(LineKind::Info, "endpoints-changed",
+                { { "endpoints", m_directory.endpoints().size() }, { "table_revision", m_revision + 1 } });
+            publish();
+        }
+        for (const auto& it : m_directory.takeRecovered()) {
+            m_journal.write(LineKind::Info, "endpoint-recovered", { { "endpoint", it.value() } });
+            apply(EndpointStateSeen { it, EndpointStateSource::Engine, EndpointLife::Serving });
+        }
+        bool hasSome = listed && !listed->empty();
+        timer.expires_after(!listed ? retryInterval : hasSome ? listInterval : firstListInterval);
+        ErrorCode ec;
+        co_await timer.async_wait(awaitInto(ec));
+    }
+}
+
+net::awaitable<void> Control::tick()
+{
+    net::steady_timer timer(m_io);
+    for (uint32_t number = 0;; ++number) {
+        timer.expires_after(tickInterval);
+        ErrorCode ec;
+        co_await timer.async_wait(awaitInto(ec));
+        apply(Tick { number });
+    }
+}
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/Control.h
@@ -0,0 +1,59 @@
+// The control thread: follows the platform, owns the decision core and the layout planner, and publishes what the
+// traffic thread needs.
+
+#pragma once
+
+#include "router/LayoutPlanner.h"
+#include "router/Traffic.h"
+
+namespace jacinthspindle::router {
+
+// Ports of the control thread to the platform.
+struct ControlPorts {
+    ConfigurationSource& configurations;
+    EndpointSource& endpoints;
+    LeaseStore& lease;
+    EngineControl& engines;
+};
+
+// Except where stated otherwise, functions are called on the thread that runs io().
+class Control {
+public:
+    Control(net::io_context&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, ControlPorts,
+        PlannerLeaseConfig, ConfigurationAge&);
+
+    // traffic must outlive the event loop.
+    void start(Traffic& traffic);
+
+    // Thread-safe.
+    void postInput(CoreInput);
+    void reportSilent(EndpointId);
+
+private:
+    net::awaitable<void> followConfiguration();
+    net::awaitable<void> followEndpoints();
+    net::awaitable<void> tick();
+    void apply(const CoreInput&);
+    void adopt(std::shared_ptr<const RoutingConfiguration>);
+    void publish();
+    void noteDependency(bool& isUp, bool isUpNow, const char* name, const Reason&);
+
+    net::io_context& m_io;
+    const Clock& m_clock;
+    Journal& m_journal;
+    daemon::Metrics& m_metrics;
+    const RouterSettings& m_settings;
+    ControlPorts m_ports;
+    ConfigurationAge& m_age;
+    Traffic* m_traffic = nullptr;
+    DecisionCore m_core;
+    EndpointDirectory m_directory;
+    LayoutPlanner m_planner;
+    std::shared_ptr<const RoutingConfiguration> m_configuration;
+    std::shared_ptr<const RouteIndex> m_routes; // Of m_configuration.
+    uint64_t m_revision = 0; // Of the table in the core.
+    bool m_areConfigurationsUp = true; // As last logged.
+    bool m_areEndpointsUp = true;
+};
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/EndpointDirectory.cpp
@@ -0,0 +1,71 @@
+// Updates of the directory.
+
+#include "router/EndpointDirectory.h"
+
+namespace jacinthspindle::router {
+
+bool EndpointDirectory::update(Instant now, const std::vector<EndpointSighting>& listed)
+{
+    if (m_isAway)
+        m_returnedAt = now;
+    m_isAway = false;
+    m_updatedAt = now;
+    std::map<EndpointId, EndpointSighting> next;
+    for (const auto& it : listed)
+        next.emplace(it.endpoint, it);
+    if (isWithinReturn(now)) {
+        // A restarted endpoint has the address of the one that it replaces.
+        auto hasAddress = [&](const std::string& address) {
+            return std::any_of(listed.begin(), listed.end(), [&](const auto& it) { return it.address == address; });
+        };
+        for (const auto& [id, endpoint] : m_endpoints) {
+            if (!next.contains(id) && !hasAddress(endpoint.address))
+                next.emplace(id, endpoint);
+        }
+    }
+    auto withoutHeartbeats = [](EndpointSighting sighting) {
+        sighting.heartbeats = 0;
+        return sighting;
+    };
+    bool hasChanged = !std::equal(m_endpoints.begin(), m_endpoints.end(), next.begin(), next.end(),
+        [&](const auto& a, const auto& b) { return withoutHeartbeats(a.second) == withoutHeartbeats(b.second); });
+    m_endpoints = std::move(next);
+    std::erase_if(m_silent, [&](const auto& it) { return !m_endpoints.contains(it.first); });
+    return hasChanged;
+}
+
+void EndpointDirectory::markSilent(const EndpointId& id)
+{
+    const auto* endpoint = find(id);
+    if (endpoint)
+        m_silent[id] = endpoint->heartbeats;
+}
+
+std::vector<EndpointId> EndpointDirectory::takeRecovered()
+{
+    std::vector<EndpointId> recovered;
+    for (const auto& [id, heartbeats] : m_silent) {
+        // One heartbeat may have been on its way when the endpoint was marked.
+        if (m_endpoints.at(id).heartbeats > heartbeats + 1)
+            recovered.push_back(id);
+    }
+    for (const auto& it : recovered)
+        m_silent.erase(it);
+    return recovered;
+}
+
+std::vector<EndpointSighting> EndpointDirectory::endpoints() const
+{
+    std::vector<EndpointSighting> all;
+    for (const auto& it : m_endpoints)
+        all.push_back(it.second);
+    return all;
+}
+
+const EndpointSighting* EndpointDirectory::find(const EndpointId& id) const
+{
+    auto it = m_endpoints.find(id);
+    return it == m_endpoints.end() ? nullptr : &it->second;
+}
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/EndpointDirectory.h
@@ -0,0 +1,44 @@
+// The endpoints that a daemon believes in: what the platform lists, kept over gaps that follow an outage of the
+// platform's store, and the endpoints that were seen to be silent.
+
+#pragma once
+
+#include "router/Ports.h"
+
+#include <map>
+#include <vector>
+
+namespace jacinthspindle::router {
+
+// Deterministic and without I/O. Belongs to the control thread.
+class EndpointDirectory {
+public:
+    // After an outage of the store, entries that lapsed meanwhile are back within about two seconds if their endpoints
+    // live. Until then a missing entry does not mean that an endpoint has gone.
+    static constexpr Duration returnTime = std::chrono::milliseconds(2500);
+
+    // The platform answered with all its entries. Returns true when anything but heartbeats has changed.
+    bool update(Instant now, const std::vector<EndpointSighting>&);
+    // The platform did not answer.
+    void missed() { m_isAway = true; }
+
+    // An engine reported that the endpoint does not answer.
+    void markSilent(const EndpointId&);
+    // Returns the endpoints that have sent a heartbeat since they were marked as silent, and forgets the marks.
+    std::vector<EndpointId> takeRecovered();
+
+    std::vector<EndpointSighting> endpoints() const;
+    const EndpointSighting* find(const EndpointId&) const;
+    Instant updatedAt() const { return m_updatedAt; }
+
+private:
+    bool isWithinReturn(Instant now) const { return m_returnedAt != Instant() && now - m_returnedAt < returnTime; }
+
+    std::map<EndpointId, EndpointSighting> m_endpoints;
+    std::map<EndpointId, uint64_t> m_silent; // Heartbeats when the endpoint was marked.
+    bool m_isAway = false; // The last read failed.
+    Instant m_returnedAt {}; // First answer after a failed read.
+    Instant m_updatedAt {};
+};
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/Exchange.cpp
@@ -0,0 +1,474 @@
+// The life of a request: decisions, attempts and the answer.
+
+#include "router/Exchange.h"
+
+#include <cstdio>
+
+namespace jacinthspindle::router {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // An endpoint that lives accepts within a few milliseconds; a lost packet is sent again after 200 ms.
+    constexpr milliseconds connectTimeout { 350 };
+    // The endpoint's own answer at the deadline is preferred to one of the router.
+    constexpr milliseconds deadlineGrace { 60 };
+    // A request that must not run twice is sent over a connection that was used just now: an older one may be about to
+    // be closed, and then nobody knows whether the request ran.
+    constexpr milliseconds freshIdle { 400 };
+    // Attempts of a stream whose endpoints went silent one after the other.
+    constexpr uint32_t maxLostSends = 3;
+    // A refusal is repeated by the caller only if it can come back while part of its time is left.
+    constexpr int retryAfterShare = 4;
+    constexpr size_t maxAnswerBytes = size_t { 16 } << 20;
+    // An event of a stream holds a few tokens; only the length estimates of the core use the figure.
+    constexpr uint32_t tokensPerEvent = 2;
+
+    std::string secondsText(Duration duration)
+    {
+        char text[32];
+        std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(duration).count());
+        return text;
+    }
+
+    bool isSuccess(unsigned status)
+    {
+        return status >= 200 && status < 300;
+    }
+
+} // namespace
+
+Exchange::Exchange(const ExchangeContext& context, CallerSink& sink, RoutedRequest request)
+    : m_context(context)
+    , m_sink(sink)
+    , m_request(std::move(request))
+    , m_decisionTimer(context.executor)
+{
+    if (m_request.lastEvent)
+        m_events.continueAfter(*m_request.lastEvent);
+}
+
+void Exchange::decide(const CoreDecision& decision)
+{
+    // A change of priority concerns engines that take one for running work; the platform's do not.
+    if (std::holds_alternative<Reprioritize>(decision))
+        return;
+    m_decision = decision;
+    m_decisionTimer.cancel();
+}
+
+void Exchange::callerGone()
+{
+    m_isCallerGone = true;
+    m_decisionTimer.cancel();
+    closeConnection();
+}
+
+void Exchange::moveAway(const EndpointId& silent)
+{
+    if (!m_connection || m_movedFrom)
+        return;
+    m_movedFrom = silent;
+    closeConnection();
+}
+
+void Exchange::closeConnection()
+{
+    if (m_connection)
+        m_connection->stream.close();
+}
+
+Duration Exchange::silentFor() const
+{
+    return m_connection && m_request.isModel ? m_context.clock.now() - m_progressAt : Duration::zero();
+}
+
+void Exchange::note(const char* event, std::vector<LineField> fields)
+{
+    fields.insert(fields.begin(), { { "request", m_request.wireId }, { "service", m_request.service } });
+    m_context.journal.write(LineKind::Decision, event, fields);
+}
+
+void Exchange::finish(ResultCode code, unsigned status)
+{
+    auto took = m_context.clock.now() - m_request.arrivedAt;
+    m_context.metrics.addResult(code);
+    m_context.metrics.add(daemon::Counter::RequestsFinished);
+    m_context.metrics.observe(daemon::Distribution::RequestTime, took);
+    note("request-ended",
+        { { "code", static_cast<int>(code) }, { "result", resultName(code) }, { "status", status },
+            { "took_ms", millisecondsOf(took) }, { "sends", m_sends }, { "events", m_events.delivered() } });
+}
+
+net::awaitable<std::optional<CoreDecision>> Exchange::nextDecision()
+{
+    while (!m_decision && !m_isCallerGone && timeLeft() > Duration::zero()) {
+        m_decisionTimer.expires_after(timeLeft());
+        ErrorCode ec;
+        co_await m_decisionTimer.async_wait(awaitInto(ec));
+    }
+    auto decision = std::move(m_decision);
+    m_decision.reset();
+    co_return decision;
+}
+
+net::awaitable<ExchangeEnd> Exchange::run()
+{
+    m_context.metrics.add(daemon::Counter::RequestsArrived);
+    m_context.postInput(RequestArrived { m_request.id, m_request.workspace, RouteId(m_request.service),
+        m_request.promptTokens, m_request.maxTokens, 0, {}, timeLeft() });
+    while (true) {
+        auto decision = co_await nextDecision();
+        if (m_isCallerGone) {
+            m_context.postInput(CallerGone { m_request.id });
+            m_context.metrics.add(daemon::Counter::CallersGone);
+            finish(ResultCode::CallerGone, 0);
+            co_return ExchangeEnd::CallerLost;
+        }
+        if (!decision) {
+            m_context.postInput(CallerGone { m_request.id });
+            co_return co_await giveUp(ResultCode::DeadlineExceeded);
+        }
+        if (const auto* refused = std::get_if<Refuse>(&*decision))
+            co_return co_await refuse(*refused);
+        if (const auto* abandoned = std::get_if<Abandon>(&*decision))
+            co_return co_await giveUp(abandoned->code);
+        const auto& dispatched = std::get<Dispatch>(*decision);
+        auto result = co_await attempt(dispatched);
+        bool isOver = false;
+        auto end = co_await afterAttempt(result, dispatched.attempt, isOver);
+        if (isOver)
+            co_return end;
+    }
+}
+
+// Reports the attempt to the core. The exchange is over unless the core decides about another attempt.
+net::awaitable<ExchangeEnd> Exchange::afterAttempt(const AttemptResult& result, uint32_t attempt, bool& isOver)
+{
+    isOver = true;
+    if (result.end == AttemptEnd::Complete) {
+        auto tokens = static_cast<uint32_t>(m_events.delivered()) * tokensPerEvent;
+        m_context.postInput(RequestFinished { m_request.id, attempt, tokens });
+        if (m_hasBegun) {
+            bool isWhole = co_await m_sink.endParts();
+            finish(ResultCode::Ok, 200);
+            co_return isWhole ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
+        }
+        auto status = m_answer->result_int();
+        bool isSent = co_await m_sink.sendWhole(std::move(*m_answer));
+        finish(isSuccess(status) ? ResultCode::Ok : ResultCode::EndpointFailed, status);
+        co_return isSent ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
+    }
+    if (m_isCallerGone) {
+        m_context.postInput(CallerGone { m_request.id });
+        m_context.metrics.add(daemon::Counter::CallersGone);
+        finish(ResultCode::CallerGone, 0);
+        co_return ExchangeEnd::CallerLost;
+    }
+    m_context.metrics.add(daemon::Counter::AttemptsFailed);
+    bool repeats = mayRepeat(result);
+    note("attempt-failed",
+        { { "attempt", attempt }, { "endpoint", result.atFault.value() }, { "detail", result.detail },
+            { "may_repeat", repeats }, { "events", m_events.delivered() }, { "left_ms", millisecondsOf(timeLeft()) } });
+    auto position = static_cast<uint32_t>(m_events.delivered()) * tokensPerEvent;
+    m_context.postInput(AttemptFailed { m_request.id, attempt, result.atFault, result.kind, position, repeats });
+    if (repeats) {
+        isOver = false;
+        co_return ExchangeEnd::Answered;
+    }
+    bool isLate = result.end == AttemptEnd::TimedOut;
+    co_return co_await giveUp(isLate ? ResultCode::DeadlineExceeded : ResultCode::EndpointFailed);
+}
+
+bool Exchange::mayRunAgain() const
+{
+    return m_request.route.repeatability == Repeatability::Idempotent
+        || m_request.route.repeatability == Repeatability::ResumableStream;
+}
+
+bool Exchange::mayRepeat(const AttemptResult& result) const
+{
+    if (timeLeft() <= Duration::zero() || result.end == AttemptEnd::TimedOut)
+        return false;
+    if (result.end == AttemptEnd::NotSent)
+        return true;
+    // Endpoints that went silent do not count against the route's attempts.
+    bool hasAttempts = m_sends - m_lostSends < m_request.route.maxAttempts && m_lostSends <= maxLostSends;
+    return hasAttempts && (result.end == AttemptEnd::NotExecuted || mayRunAgain());
+}
+
+net::awaitable<ExchangeEnd> Exchange::refuse(const Refuse& refused)
+{
+    auto longest = std::max(Duration::zero(), timeLeft()) / retryAfterShare;
+    note("refused",
+        { { "code", static_cast<int>(refused.code) }, { "result", resultName(refused.code) },
+            { "table_revision", refused.tableRevision } });
+    co_return co_await sendError(refused.code, 503, std::min(refused.retryAfter, longest));
+}
+
+// The last answer to a request that no further attempt is made for.
+net::awaitable<ExchangeEnd> Exchange::giveUp(ResultCode code)
+{
+    if (m_hasBegun) {
+        // Without its end the answer cannot be taken for a whole one.
+        finish(code, 200);
+        co_return ExchangeEnd::CallerLost;
+    }
+    if (m_answer) {
+        auto status = m_answer->result_int();
+        bool isSent = co_await m_sink.sendWhole(std::move(*m_answer));
+        finish(ResultCode::EndpointFailed, status);
+        co_return isSent ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
+    }
+    bool isLate = timeLeft() <= Duration::zero() || code == ResultCode::DeadlineExceeded;
+    if (isLate)
+        co_return co_await sendError(ResultCode::DeadlineExceeded, 504, std::nullopt);
+    if (m_mayHaveRun)
+        co_return co_await sendError(code, 502, std::nullopt);
+    // The endpoints that refused were asked a moment ago; a short pause lets them take other work.
+    constexpr milliseconds pause { 100 };
+    co_return co_await sendError(code, 503, std::min<Duration>(pause, timeLeft() / retryAfterShare));
+}
+
+net::awaitable<ExchangeEnd> Exchange::sendError(ResultCode code, unsigned status, std::optional<Duration> retryAfter)
+{
+    http::response<http::string_body> answer { static_cast<http::status>(status), 11 };
+    answer.set(m_context.settings.headers.requestId, m_request.wireId);
+    answer.set(http::field::content_type, "text/plain");
+    if (retryAfter)
+        answer.set(http::field::retry_after, secondsText(*retryAfter));
+    answer.body() = std::string(resultName(code)) + "\n";
+    answer.prepare_payload();
+    finish(code, status);
+    bool isSent = co_await m_sink.sendWhole(std::move(answer));
+    co_return isSent ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
+}
+
+net::awaitable<std::unique_ptr<EndpointConnection>> Exchange::acquire(const EndpointSighting& endpoint)
+{
+    auto maxIdle = mayRunAgain() ? Duration::max() : Duration(freshIdle);
+    if (auto idle = m_context.pool.takeIdle(endpoint.address, maxIdle))
+        co_return idle;
+    auto timeout = std::min<Duration>(connectTimeout, std::max<Duration>(timeLeft(), milliseconds(1)));
+    co_return co_await m_context.pool.connect(
+        endpoint.address, std::chrono::duration_cast<milliseconds>(timeout) + milliseconds(1));
+}
+
+net::awaitable<Exchange::AttemptResult> Exchange::attempt(const Dispatch& dispatch)
+{
+    m_movedFrom.reset();
+    m_events.restart();
+    auto view = m_context.currentView();
+    const auto& first = dispatch.chain.front().endpoint;
+    const auto* head = view->findEndpoint(first);
+    auto chain = chainText(*view, dispatch.chain);
+    if (!head || !chain)
+        co_return AttemptResult { AttemptEnd::NotSent, first, FailureKind::ConnectFailed, "endpoint has gone" };
+    m_head = *head;
+    note("dispatched",
+        { { "attempt", dispatch.attempt }, { "endpoint", first.value() }, { "chain", *chain },
+            { "table_revision", dispatch.tableRevision }, { "left_ms", millisecondsOf(timeLeft()) } });
+    m_context.metrics.add(daemon::Counter::AttemptsStarted);
+    auto connection = co_await acquire(m_head);
+    if (!connection || m_isCallerGone)
+        co_return AttemptResult { AttemptEnd::NotSent, first, FailureKind::ConnectFailed, "connect" };
+    m_connection = connection.get();
+    auto result = AttemptResult {};
+    bool isForeign = false;
+    std::unique_ptr<Parser> parser;
+    m_progressAt = m_context.clock.now();
+    ++m_sends;
+    bool hadRun = m_mayHaveRun;
+    m_mayHaveRun = true;
+    connection->stream.expires_after(std::max<Duration>(timeLeft(), milliseconds(1)) + deadlineGrace);
+    if (!m_request.isModel)
+        chain->clear();
+    bool isWritten = co_await writeRequest(*connection, *chain);
+    bool isAnswered = false;
+    if (isWritten)
+        isAnswered = co_await readOwnHeader(*connection, parser, isForeign);
+    if (!isAnswered)
+        result = broken(isWritten ? "no answer" : "write");
+    else if (isSuccess(parser->get().result_int())
+        && parser->get()[http::field::content_type].starts_with("text/event-stream"))
+        result = co_await relayStream(*connection, *parser, dispatch.attempt);
+    else
+        result = co_await takeWhole(*connection, *parser);
+    m_connection = nullptr;
+    if (result.end == AttemptEnd::NotExecuted)
+        m_mayHaveRun = hadRun;
+    if (result.kind == FailureKind::Stalled)
+        ++m_lostSends;
+    bool isReusable = result.end != AttemptEnd::CallerGone && parser && parser->is_done() && parser->keep_alive()
+        && !isForeign && !connection->buffer.size() && !m_isCallerGone && !m_movedFrom;
+    if (isReusable)
+        m_context.pool.giveBack(std::move(connection), idleLimitOf(parser->get().base()));
+    co_return result;
+}
+
+Exchange::AttemptResult Exchange::broken(const char* detail) const
+{
+    if (m_isCallerGone)
+        return { AttemptEnd::CallerGone, {}, FailureKind::StreamBroken, detail };
+    if (m_movedFrom)
+        return { AttemptEnd::Failed, *m_movedFrom, FailureKind::Stalled, "an endpoint is silent" };
+    if (timeLeft() <= Duration::zero())
+        return { AttemptEnd::TimedOut, {}, FailureKind::StreamBroken, "deadline" };
+    return { AttemptEnd::Failed, m_head.endpoint, FailureKind::StreamBroken, detail };
+}
+
+net::awaitable<bool> Exchange::writeRequest(EndpointConnection& connection, std::string chain)
+{
+    ForwardedRequest forwarded;
+    forwarded.caller = &m_request.message;
+    forwarded.workspace = m_request.workspace;
+    forwarded.timeLeft = std::chrono::duration_cast<milliseconds>(timeLeft());
+    forwarded.instance = m_head.instance;
+    forwarded.chain = std::move(chain);
+    forwarded.lastEvent = m_events.lastId();
+    auto message = forwardRequest(m_context.settings.headers, forwarded);
+    ErrorCode ec;
+    co_await http::async_write(connection.stream, message, awaitInto(ec));
+    // An endpoint may answer and close before it has read the whole body; the answer then still lies in the socket.
+    co_return !ec || ec == net::error::broken_pipe || ec == net::error::connection_reset;
+}
+
+// Reads headers until those of this request's answer. A faulty endpoint may have sent another answer first.
+net::awaitable<bool> Exchange::readOwnHeader(
+    EndpointConnection& connection, std::unique_ptr<Parser>& parser, bool& isForeign)
+{
+    constexpr int maxForeign = 2;
+    for (int i = 0; i <= maxForeign; ++i) {
+        parser = std::make_unique<Parser>();
+        parser->body_limit(maxAnswerBytes);
+        ErrorCode ec;
+        co_await http::async_read_header(connection.stream, connection.buffer, *parser, awaitInto(ec));
+        if (ec)
+            co_return false;
+        if (parser->get()[m_context.settings.headers.requestId] == m_request.wireId)
+            co_return true;
+        isForeign = true;
+        note("foreign-answer", { { "endpoint", m_head.endpoint.value() } });
+        std::string ignored;
+        bool isWhole = co_await readBody(connection, *parser, ignored);
+        if (!isWhole || !parser->keep_alive())
+            co_return false;
+    }
+    co_return false;
+}
+
+net::awaitable<bool> Exchange::readBody(EndpointConnection& connection, Parser& parser, std::string& body)
+{
+    std::array<char, 4096> chunk;
+    while (!parser.is_done()) {
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        ErrorCode ec;
+        co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(ec));
+        if (ec && ec != http::error::need_buffer)
+            co_return false;
+        body.append(chunk.data(), chunk.size() - parser.get().body().size);
+    }
+    co_return true;
+}
+
+net::awaitable<Exchange::AttemptResult> Exchange::takeWhole(EndpointConnection& connection, Parser& parser)
+{
+    std::string body;
+    bool isWhole = co_await readBody(connection, parser, body);
+    if (!isWhole)
+        co_return broken("answer broke off");
+    co_return classify(parser.get().base(), std::move(body));
+}
+
+EndpointId Exchange::faultOf(const http::response_header<>& header) const
+{
+    auto address = header[m_context.settings.headers.atFault];
+    if (address.empty())
+        return m_head.endpoint;
+    const auto* endpoint = m_context.currentView()->findAddress(std::string(address));
+    return endpoint ? endpoint->endpoint : EndpointId();
+}
+
+Exchange::AttemptResult Exchange::classify(const http::response_header<>& header, std::string body)
+{
+    const auto& names = m_context.settings.headers;
+    auto status = header.result_int();
+    bool hasNotRun = header.count(names.notExecuted) || status == 421;
+    if (hasNotRun)
+        return { AttemptEnd::NotExecuted, faultOf(header), FailureKind::Refused, "not executed" };
+    if (!header.count(names.signature) || header.count(http::field::content_encoding))
+        return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "not the endpoint's answer" };
+    http::response<http::string_body> answer;
+    answer.base() = forwardResponseHeader(header);
+    answer.body() = std::move(body);
+    answer.content_length(answer.body().size());
+    m_answer = std::move(answer);
+    bool isFailure = status >= 500 && mayRunAgain() && status != 504;
+    if (isFailure)
+        return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "endpoint error" };
+    return { AttemptEnd::Complete, {}, FailureKind::BadToken, "" };
+}
+
+net::awaitable<bool> Exchange::sendEvents(
+    const http::response_header<>& header, const std::string& events, uint32_t attempt)
+{
+    if (!m_hasBegun) {
+        m_hasBegun = true;
+        m_context.metrics.observe(daemon::Distribution::FirstToken, m_context.clock.now() - m_request.arrivedAt);
+        m_context.postInput(FirstToken { m_request.id, attempt });
+        auto forwarded = forwardResponseHeader(header);
+        bool isReached = co_await m_sink.beginParts(std::move(forwarded));
+        if (!isReached)
+            co_return false;
+    }
+    if (events.empty())
+        co_return true;
+    co_return co_await m_sink.sendPart(events);
+}
+
+// Passes whole events on as they come. The caller has received nothing of an event that breaks off, so that the stream
+// can be continued after the last whole one.
+net::awaitable<Exchange::AttemptResult> Exchange::relayStream(
+    EndpointConnection& connection, Parser& parser, uint32_t attempt)
+{
+    const auto header = parser.get().base();
+    const auto& names = m_context.settings.headers;
+    if (!header.count(names.signature) || header.count(http::field::content_encoding))
+        co_return AttemptResult { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken,
+            "not the endpoint's answer" };
+    std::array<char, 4096> chunk;
+    std::string events;
+    while (!parser.is_done()) {
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        ErrorCode ec;
+        co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(ec));
+        if (ec && ec != http::error::need_buffer)
+            co_return broken("stream broke off");
+        size_t n = chunk.size() - parser.get().body().size;
+        if (!n)
+            continue;
+        m_progressAt = m_context.clock.now();
+        events.clear();
+        if (!m_events.take({ chunk.data(), n }, events))
+            co_return broken("event too long");
+        if (events.empty())
+            continue;
+        bool isReached = co_await sendEvents(header, events, attempt);
+        if (!isReached) {
+            m_isCallerGone = true;
+            co_return broken("caller");
+        }
+    }
+    if (m_events.isInsideEvent())
+        co_return broken("stream ended inside an event");
+    events.clear();
+    bool isReached = co_await sendEvents(header, events, attempt);
+    if (!isReached)
+        m_isCallerGone = true;
+    co_return isReached ? AttemptResult { AttemptEnd::Complete, {}, FailureKind::BadToken, "" } : broken("caller");
+}
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/Exchange.h
@@ -0,0 +1,137 @@
+// One request of a caller: from its arrival through the attempts at endpoints to its answer.
+
+#pragma once
+
+#include "router/EndpointPool.h"
+#include "router/Headers.h"
+#include "router/Journal.h"
+
+#include "daemon/Metrics.h"
+
+#include <functional>
+#include <memory>
+
+namespace jacinthspindle::router {
+
+// Where an exchange writes its answer. Each function returns false when the caller can no longer be reached.
+class CallerSink {
+public:
+    virtual ~CallerSink() = default;
+    virtual net::awaitable<bool> sendWhole(http::response<http::string_body>) = 0;
+    // Begins an answer whose length is not known; sendPart and endParts follow.
+    virtual net::awaitable<bool> beginParts(http::response_header<>) = 0;
+    virtual net::awaitable<bool> sendPart(std::string_view bytes) = 0;
+    virtual net::awaitable<bool> endParts() = 0;
+};
+
+// What an exchange needs from the traffic thread. All of it outlives the exchange.
+struct ExchangeContext {
+    net::any_io_executor executor;
+    const Clock& clock;
+    Journal& journal;
+    daemon::Metrics& metrics;
+    EndpointPool& pool;
+    const RouterSettings& settings;
+    std::function<void(CoreInput)> postInput; // To the decision core.
+    std::function<std::shared_ptr<const RoutingView>()> currentView;
+};
+
+// A request that has passed the checks of its route and key.
+struct RoutedRequest {
+    http::request<http::string_body> message;
+    RequestId id; // The caller's, or one of its own when that is in use.
+    std::string wireId; // The caller's.
+    WorkspaceId workspace;
+    RouteSettings route;
+    std::string service;
+    bool isModel = false;
+    Instant arrivedAt {};
+    Instant deadline {}; // The earlier one of the caller's deadline and the route's timeout.
+    uint32_t promptTokens = 0;
+    uint32_t maxTokens = 0;
+    std::optional<uint64_t> lastEvent; // The caller continues a stream.
+};
+
+// How an exchange ended, for the connection of the caller.
+enum class ExchangeEnd : uint8_t {
+    Answered,
+    CallerLost, // The caller left, or an answer was broken off: the connection must be closed.
+};
+
+// Belongs to the traffic thread.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+public:
+    Exchange(const ExchangeContext&, CallerSink&, RoutedRequest);
+
+    // Runs the request to its end.
+    net::awaitable<ExchangeEnd> run();
+
+    // Inputs from the traffic thread while run() is in progress.
+    void decide(const CoreDecision&);
+    void callerGone();
+    // Ends the running attempt because this endpoint does not answer; the work continues elsewhere.
+    void moveAway(const EndpointId& silent);
+
+    const RequestId& id() const { return m_request.id; }
+    const std::string& wireId() const { return m_request.wireId; }
+    // Endpoint to which the running attempt was sent; null between attempts.
+    const EndpointSighting* head() const { return m_connection ? &m_head : nullptr; }
+    // For how long an attempt of a model has shown no progress; zero when none runs.
+    Duration silentFor() const;
+
+private:
+    enum class AttemptEnd : uint8_t { Complete, NotSent, NotExecuted, Failed, CallerGone, TimedOut };
+    struct AttemptResult {
+        AttemptEnd end = AttemptEnd::NotSent;
+        EndpointId atFault; // Empty when it is not known.
+        FailureKind kind = FailureKind::ConnectFailed;
+        const char* detail = "";
+    };
+    using Parser = http::response_parser<http::buffer_body>;
+
+    net::awaitable<std::optional<CoreDecision>> nextDecision();
+    net::awaitable<ExchangeEnd> refuse(const Refuse&);
+    net::awaitable<ExchangeEnd> giveUp(ResultCode);
+    net::awaitable<ExchangeEnd> afterAttempt(const AttemptResult&, uint32_t attempt, bool& isOver);
+
+    net::awaitable<AttemptResult> attempt(const Dispatch&);
+    net::awaitable<std::unique_ptr<EndpointConnection>> acquire(const EndpointSighting&);
+    net::awaitable<bool> writeRequest(EndpointConnection&, std::string chain);
+    net::awaitable<bool> readOwnHeader(EndpointConnection&, std::unique_ptr<Parser>&, bool& isForeign);
+    net::awaitable<bool> readBody(EndpointConnection&, Parser&, std::string& body);
+    net::awaitable<AttemptResult> relayStream(EndpointConnection&, Parser&, uint32_t attempt);
+    net::awaitable<AttemptResult> takeWhole(EndpointConnection&, Parser&);
+    AttemptResult classify(const http::response_header<>&, std::string body);
+    AttemptResult broken(const char* detail) const;
+    EndpointId faultOf(const http::response_header<>&) const;
+    net::awaitable<bool> sendEvents(const http::response_header<>&, const std::string& events, uint32_t attempt);
+
+    bool mayRepeat(const AttemptResult&) const;
+    bool mayRunAgain() const;
+    Duration timeLeft() const { return m_request.deadline - m_context.clock.now(); }
+    void closeConnection();
+    net::awaitable<ExchangeEnd> sendError(ResultCode, unsigned status, std::optional<Duration> retryAfter);
+    void note(const char* event, std::vector<LineField> fields);
+    void finish(ResultCode, unsigned status);
+
+    const ExchangeContext& m_context;
+    CallerSink& m_sink;
+    RoutedRequest m_request;
+    net::steady_timer m_decisionTimer;
+    std::optional<CoreDecision> m_decision; // Arrived and not taken yet.
+    bool m_isCallerGone = false;
+
+    EndpointConnection* m_connection = nullptr; // Of the running attempt; owned by attempt().
+    EndpointSighting m_head;
+    std::optional<EndpointId> m_movedFrom; // Set when the running attempt was ended by moveAway().
+    Instant m_progressAt {}; // Last bytes of the running attempt, or when it was sent.
+
+    uint32_t m_sends = 0; // Endpoints to which the request was sent.
+    uint32_t m_lostSends = 0; // Of those, endpoints that went silent.
+    bool m_mayHaveRun = false; // Some endpoint may have run the request.
+    bool m_hasBegun = false; // The caller has received a part of the answer.
+    EventSplitter m_events;
+    std::optional<http::response<http::string_body>> m_answer; // An endpoint's own whole answer.
+};
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/Headers.h
@@ -0,0 +1,34 @@
+// Which headers are passed on, and which the router sets.
+
+#pragma once
+
+#include "router/RouterSettings.h"
+#include "router/RoutingView.h"
+
+#include <spindlecore/spindlecore.h>
+
+namespace jacinthspindle::router {
+
+// What a request to an endpoint carries besides the caller's own headers.
+struct ForwardedRequest {
+    const http::request<http::string_body>* caller = nullptr;
+    WorkspaceId workspace;
+    std::chrono::milliseconds timeLeft {};
+    std::string instance; // Of the endpoint that is meant.
+    std::string chain; // Empty for a plain service.
+    std::optional<uint64_t> lastEvent; // The stream continues after this event.
+};
+
+// Copies method, target, body and headers, except those that concern one connection or are the router's to set.
+http::request<http::string_body> forwardRequest(const HeaderNames&, const ForwardedRequest&);
+
+// Copies status and headers of an endpoint's answer, except those that concern one connection.
+http::response_header<> forwardResponseHeader(const http::response_header<>&);
+
+// Text of a chain: IP:port=first-end, with commas between the hops; nothing when an endpoint is not in the view.
+std::optional<std::string> chainText(const RoutingView&, const Chain&);
+
+// How long an endpoint keeps an idle connection, by its Keep-Alive header, less a margin for the way.
+std::chrono::milliseconds idleLimitOf(const http::response_header<>&);
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/HttpCaller.cpp
@@ -0,0 +1,74 @@
+// Calls over Boost.Beast.
+
+#include "router/HttpCaller.h"
+
+namespace jacinthspindle::router {
+
+HttpCaller::HttpCaller(net::any_io_executor executor, std::string address)
+    : m_executor(std::move(executor))
+    , m_address(std::move(address))
+{
+}
+
+std::optional<HttpReply> HttpCaller::fail(const char* step, const ErrorCode& ec)
+{
+    m_stream.reset();
+    m_lastReason = { ResultCode::PlatformUnavailable, m_address + ": " + step + ": " + ec.message() };
+    return std::nullopt;
+}
+
+net::awaitable<bool> HttpCaller::connect(std::chrono::milliseconds timeout)
+{
+    if (m_stream && isQuiet(m_stream->socket()))
+        co_return true;
+    m_stream.reset();
+    auto endpoint = parseAddress(m_address);
+    if (!endpoint) {
+        fail("address", net::error::invalid_argument);
+        co_return false;
+    }
+    m_stream.emplace(m_executor);
+    m_stream->expires_after(timeout);
+    ErrorCode ec;
+    co_await m_stream->async_connect(*endpoint, awaitInto(ec));
+    if (ec) {
+        fail("connect", ec);
+        co_return false;
+    }
+    tuneSocket(m_stream->socket());
+    co_return true;
+}
+
+net::awaitable<std::optional<HttpReply>> HttpCaller::call(
+    http::verb method, std::string target, std::string body, std::chrono::milliseconds timeout)
+{
+    m_wasSent = false;
+    if (!co_await connect(timeout))
+        co_return std::nullopt;
+    http::request<http::string_body> request { method, target, 11 };
+    request.set(http::field::host, m_address);
+    if (!body.empty())
+        request.set(http::field::content_type, "application/json");
+    request.body() = std::move(body);
+    request.prepare_payload();
+    m_stream->expires_after(timeout);
+    ErrorCode ec;
+    m_wasSent = true;
+    co_await http::async_write(*m_stream, request, awaitInto(ec));
+    if (ec)
+        co_return fail("write", ec);
+    beast::flat_buffer buf;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(16U << 20);
+    co_await http::async_read(*m_stream, buf, parser, awaitInto(ec));
+    if (ec)
+        co_return fail("read", ec);
+    m_stream->expires_never();
+    auto& message = parser.get();
+    HttpReply reply { message.result_int(), std::move(message.body()) };
+    if (!message.keep_alive() || buf.size())
+        m_stream.reset();
+    co_return reply;
+}
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/HttpCaller.h
@@ -0,0 +1,41 @@
+// One HTTP call after another to one address over a kept connection; for the platform's store, reports and orders.
+
+#pragma once
+
+#include "router/Net.h"
+
+#include <spindlecore/spindlecore.h>
+
+namespace jacinthspindle::router {
+
+struct HttpReply {
+    unsigned status = 0;
+    std::string body;
+};
+
+// Belongs to one event loop. At most one call is in progress.
+class HttpCaller {
+public:
+    HttpCaller(net::any_io_executor, std::string address);
+
+    // Nothing when no whole answer came before the timeout; lastReason() then tells why. The call is not repeated,
+    // since it may have taken effect; the connection is closed, so that a late answer cannot be taken for another's.
+    net::awaitable<std::optional<HttpReply>> call(
+        http::verb, std::string target, std::string body, std::chrono::milliseconds timeout);
+
+    // The request of the last call may have reached the peer.
+    bool wasSent() const { return m_wasSent; }
+    const Reason& lastReason() const { return m_lastReason; }
+
+private:
+    net::awaitable<bool> connect(std::chrono::milliseconds timeout);
+    std::optional<HttpReply> fail(const char* step, const ErrorCode&);
+
+    net::any_io_executor m_executor;
+    std::string m_address;
+    std::optional<beast::tcp_stream> m_stream;
+    bool m_wasSent = false;
+    Reason m_lastReason;
+};
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/LayoutPlanner.cpp
@@ -0,0 +1,164 @@
+// The planner's cycle.
+
+#include "router/LayoutPlanner.h"
+
+namespace jacinthspindle::router {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds cycle { 250 };
+    // Engines register within a second of the start; a layout that is made earlier would leave some of them out.
+    constexpr milliseconds settleTime { 1000 };
+    constexpr milliseconds callTimeout { 500 };
+    // An order is seen in the engine's entry after its loading time, a heartbeat, and a read of the list.
+    constexpr milliseconds orderSlack { 3500 };
+    // An order without an answer may be carried out this much later.
+    constexpr milliseconds unknownOrderTime { 5000 };
+    // Orders that failed are planned again after this time.
+    constexpr milliseconds failedOrderPause { 800 };
+
+} // namespace
+
+LayoutPlanner::LayoutPlanner(net::io_context& io, const Clock& clock, Journal& journal, LeaseStore& store,
+    EngineControl& control, const EndpointDirectory& directory, PlannerLeaseConfig config)
+    : m_io(io)
+    , m_clock(clock)
+    , m_journal(journal)
+    , m_store(store)
+    , m_control(control)
+    , m_directory(directory)
+    , m_leaseConfig(config)
+    , m_lease(std::move(config))
+{
+}
+
+net::awaitable<void> LayoutPlanner::run()
+{
+    net::steady_timer timer(m_io);
+    while (true) {
+        co_await advanceLease();
+        bool holds = m_lease.isHolder(m_clock.now());
+        if (holds != (m_term != 0)) {
+            m_term = holds ? m_lease.terms() : 0;
+            m_ordered.clear();
+            m_journal.write(LineKind::Info, holds ? "planner-lease-gained" : "planner-lease-lost",
+                { { "terms", m_lease.terms() } });
+        }
+        if (holds && m_configuration && isListSettled(m_clock.now())) {
+            for (const auto& it : m_configuration->services) {
+                if (it.model)
+                    co_await plan(it.name, *it.model);
+            }
+        }
+        timer.expires_after(cycle);
+        ErrorCode ec;
+        co_await timer.async_wait(awaitInto(ec));
+        if (ec)
+            co_return;
+    }
+}
+
+net::awaitable<void> LayoutPlanner::advanceLease()
+{
+    auto now = m_clock.now();
+    auto action = m_lease.next(now);
+    if (std::holds_alternative<PlannerLease::Read>(action)) {
+        auto row = co_await m_store.read();
+        if (row)
+            m_lease.wasRead(m_clock.now(), row->version, row->holder);
+        else
+            m_lease.readFailed(m_clock.now());
+        co_return;
+    }
+    const auto* write = std::get_if<PlannerLease::Write>(&action);
+    if (!write)
+        co_return;
+    auto [outcome, version] = co_await m_store.write(write->expectedVersion, m_leaseConfig.holder);
+    if (outcome == CommitOutcome::Committed)
+        m_lease.wasWritten(now, version);
+    else if (outcome == CommitOutcome::Conflict)
+        m_lease.wasRejected(m_clock.now());
+    else
+        m_lease.writeFailed(m_clock.now());
+}
+
+bool LayoutPlanner::isListSettled(Instant now)
+{
+    auto n = m_directory.endpoints().size();
+    // Only growth from nothing is waited for: later changes are single endpoints.
+    if (!m_listed && n)
+        m_listedSince = now;
+    m_listed = n;
+    return n && now - m_listedSince >= settleTime;
+}
+
+std::vector<PlacedEngine> LayoutPlanner::enginesOf(const std::string& service, Instant now)
+{
+    std::vector<PlacedEngine> engines;
+    for (const auto& it : m_directory.endpoints()) {
+        if (it.service != service)
+            continue;
+        PlacedEngine engine { it.endpoint, it.dataCentre, it.accelerator, it.layers, false, it.isLeaving };
+        auto ordered = m_ordered.find(it.endpoint);
+        if (ordered != m_ordered.end() && (ordered->second.layers == it.layers || now >= ordered->second.until))
+            m_ordered.erase(ordered);
+        else if (ordered != m_ordered.end()) {
+            engine.layers = ordered->second.layers;
+            engine.isBusy = true;
+        }
+        engines.push_back(std::move(engine));
+    }
+    return engines;
+}
+
+net::awaitable<void> LayoutPlanner::plan(const std::string& service, ModelLayout model)
+{
+    auto now = m_clock.now();
+    auto engines = enginesOf(service, now);
+    auto orders = planPlacement(model, engines);
+    if (orders.empty())
+        co_return;
+    m_journal.write(LineKind::Info, "placement-planned",
+        { { "service", service }, { "engines", engines.size() }, { "orders", orders.size() },
+            { "list_age_ms", millisecondsOf(now - m_directory.updatedAt()) },
+            { "tokens_before", placementTokens(model, engines) } });
+    for (const auto& order : orders) {
+        const auto* endpoint = m_directory.find(order.endpoint);
+        if (!endpoint)
+            continue;
+        m_ordered[order.endpoint] = { order.layers, now + callTimeout * 2 };
+        net::co_spawn(m_io, carryOut(*endpoint, order.layers, model), net::detached);
+    }
+}
+
+// Orders one engine, on the condition that it has accepted no order since it was asked.
+net::awaitable<void> LayoutPlanner::carryOut(EndpointSighting endpoint, LayerRange layers, ModelLayout model)
+{
+    auto report = co_await m_control.report(endpoint.address, callTimeout);
+    auto now = m_clock.now();
+    auto note = [&](const char* outcome, Duration until) {
+        m_ordered[endpoint.endpoint] = { layers, m_clock.now() + until };
+        m_journal.write(LineKind::Info, "placement-order",
+            { { "endpoint", endpoint.endpoint.value() }, { "from", layers.first }, { "to", layers.end },
+                { "accepted_orders", report ? report->acceptedOrders : 0 }, { "outcome", outcome } });
+    };
+    if (!report)
+        co_return note("no report", failedOrderPause);
+    // An order is in progress, or one was carried out that the list does not show yet.
+    if (report->isBusy || report->layers != endpoint.layers)
+        co_return note("has other work", failedOrderPause);
+    if (!m_lease.isHolder(now))
+        co_return note("lease lost", failedOrderPause);
+    auto outcome = co_await m_control.place(endpoint.address, layers, report->acceptedOrders, callTimeout);
+    auto loading = model.layers ? model.loadTime * layers.count() / model.layers : milliseconds(0);
+    if (outcome == OrderOutcome::Accepted)
+        note("accepted", loading * 3 + orderSlack);
+    else if (outcome == OrderOutcome::Unknown)
+        note("unknown", unknownOrderTime);
+    else
+        note("refused", failedOrderPause);
+}
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/LayoutPlanner.h
@@ -0,0 +1,53 @@
+// Carries out the placement of layers: holds the planner's lease, asks engines what they hold, and orders.
+
+#pragma once
+
+#include "router/EndpointDirectory.h"
+#include "router/Journal.h"
+
+namespace jacinthspindle::router {
+
+// Belongs to the control thread.
+class LayoutPlanner {
+public:
+    LayoutPlanner(net::io_context&, const Clock&, Journal&, LeaseStore&, EngineControl&, const EndpointDirectory&,
+        PlannerLeaseConfig);
+
+    // Runs until the event loop ends.
+    net::awaitable<void> run();
+
+    void adopt(std::shared_ptr<const RoutingConfiguration> configuration)
+    {
+        m_configuration = std::move(configuration);
+    }
+    bool isHolder() const { return m_lease.isHolder(m_clock.now()); }
+
+private:
+    // An order that was or may have been accepted.
+    struct Ordered {
+        LayerRange layers;
+        Instant until {}; // When the engine's own entry should show the layers; the entry decides again from then on.
+    };
+
+    net::awaitable<void> advanceLease();
+    net::awaitable<void> plan(const std::string& service, ModelLayout);
+    net::awaitable<void> carryOut(EndpointSighting, LayerRange, ModelLayout);
+    std::vector<PlacedEngine> enginesOf(const std::string& service, Instant now);
+    bool isListSettled(Instant now);
+
+    net::io_context& m_io;
+    const Clock& m_clock;
+    Journal& m_journal;
+    LeaseStore& m_store;
+    EngineControl& m_control;
+    const EndpointDirectory& m_directory;
+    PlannerLeaseConfig m_leaseConfig;
+    PlannerLease m_lease;
+    uint64_t m_term = 0; // As last logged; 0 while the lease is not held.
+    std::shared_ptr<const RoutingConfiguration> m_configuration;
+    std::map<EndpointId, Ordered> m_ordered;
+    size_t m_listed = 0; // Endpoints at the last look, to see whether the list still grows.
+    Instant m_listedSince {};
+};
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/Net.h
@@ -0,0 +1,46 @@
+// The networking types of the router: Boost.Asio and Boost.Beast, one thread per event loop.
+
+#pragma once
+
+#include <utility> // Boost.Asio 1.74 needs it in C++20 and does not include it.
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jacinthspindle::router {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = net::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+// Completion token of a coroutine that wants the error as a value.
+//
+// GCC 12 miscompiles an await inside a conditional expression, and one whose operands are temporaries inside a
+// condition. Coroutines of the router therefore name the result of an await before they test it.
+inline auto awaitInto(ErrorCode& ec)
+{
+    return net::redirect_error(net::use_awaitable, ec);
+}
+
+// Parses "IP:port". Names are not resolved.
+std::optional<tcp::endpoint> parseAddress(std::string_view text);
+
+// A connection without acknowledgement of sent bytes for this long counts as broken. A cut link is otherwise noticed
+// only by the system's own retransmission limit of many minutes.
+constexpr std::chrono::milliseconds sendTimeout { 4000 };
+
+// Sets TCP_NODELAY and TCP_USER_TIMEOUT; a failure is of no consequence and is ignored.
+void tuneSocket(tcp::socket&);
+
+// True when the peer has neither closed the connection nor sent bytes that nobody asked for.
+bool isQuiet(tcp::socket&);
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/Ports.h
@@ -0,0 +1,95 @@
+// Ports of the router to the platform and to engines. The platform adapter implements them; tests bring fakes. Each
+// implementation belongs to one event loop and is used only there.
+
+#pragma once
+
+#include "router/Net.h"
+
+#include <spindlecore/spindlecore.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jacinthspindle::router {
+
+// What the platform says about the configuration.
+struct ConfigurationSighting {
+    std::shared_ptr<const RoutingConfiguration> configuration; // Null when it has not changed.
+    Instant confirmedAt {}; // No later than the moment at which the platform vouched for it.
+};
+
+class ConfigurationSource {
+public:
+    virtual ~ConfigurationSource() = default;
+    // Waits for a change, or for the confirmation that there is none. Nothing when the platform did not answer;
+    // lastReason() then tells why.
+    virtual net::awaitable<std::optional<ConfigurationSighting>> next() = 0;
+    virtual Reason lastReason() const = 0;
+};
+
+// One endpoint as the platform lists it.
+struct EndpointSighting {
+    EndpointId endpoint; // Names one start of the endpoint; a restart is another one.
+    std::string instance; // What the endpoint calls itself.
+    std::string service;
+    DataCentreId dataCentre;
+    std::string address; // "IP:port".
+    std::string accelerator; // Empty for a plain service.
+    uint32_t slots = 1;
+    bool isLeaving = false;
+    LayerRange layers; // Empty for a plain service and for an engine without layers.
+    uint64_t heartbeats = 0; // Rises while the endpoint lives.
+
+    bool operator==(const EndpointSighting&) const = default;
+};
+
+class EndpointSource {
+public:
+    virtual ~EndpointSource() = default;
+    // Nothing when the platform did not answer; lastReason() then tells why.
+    virtual net::awaitable<std::optional<std::vector<EndpointSighting>>> list() = 0;
+    virtual Reason lastReason() const = 0;
+};
+
+struct LeaseRow {
+    uint64_t version = 0; // 0: absent.
+    std::string holder;
+};
+
+class LeaseStore {
+public:
+    virtual ~LeaseStore() = default;
+    virtual net::awaitable<std::optional<LeaseRow>> read() = 0;
+    // Returns the outcome, and the new version of the row when it was committed.
+    virtual net::awaitable<std::pair<CommitOutcome, uint64_t>> write(uint64_t expectedVersion, std::string holder) = 0;
+};
+
+// A request whose work waits for an endpoint that does not answer the head of its chain.
+struct StalledRequest {
+    RequestId request;
+    std::string address; // Of the endpoint that does not answer.
+};
+
+// What an engine says of itself. It is some hundred milliseconds old.
+struct EngineReport {
+    std::string born; // Names the start of the engine; see EndpointSighting::endpoint.
+    uint64_t acceptedOrders = 0; // Since its start.
+    bool isBusy = false; // An order is in progress.
+    LayerRange layers;
+    std::vector<StalledRequest> stalled;
+};
+
+class EngineControl {
+public:
+    virtual ~EngineControl() = default;
+    virtual net::awaitable<std::optional<EngineReport>> report(std::string address, std::chrono::milliseconds timeout)
+        = 0;
+    // Orders the engine to hold exactly these layers, if it has accepted expectedOrders orders so far.
+    virtual net::awaitable<OrderOutcome> place(
+        std::string address, LayerRange layers, uint64_t expectedOrders, std::chrono::milliseconds timeout)
+        = 0;
+};
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/TextServer.cpp
@@ -0,0 +1,80 @@
+// Connections of the text server.
+
+#include "router/TextServer.h"
+
+namespace jacinthspindle::router {
+
+namespace {
+
+    constexpr std::chrono::seconds idleTimeout { 10 };
+    constexpr std::chrono::milliseconds acceptPause { 50 };
+
+} // namespace
+
+TextServer::TextServer(net::io_context& io, std::function<TextAnswer()> answer)
+    : m_io(io)
+    , m_acceptor(io)
+    , m_answer(std::move(answer))
+{
+}
+
+std::optional<Reason> TextServer::open(const std::string& address)
+{
+    auto endpoint = parseAddress(address);
+    ErrorCode ec = endpoint ? ErrorCode() : ErrorCode(net::error::invalid_argument);
+    if (!ec)
+        m_acceptor.open(endpoint->protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(*endpoint, ec);
+    if (!ec)
+        m_acceptor.listen(net::socket_base::max_listen_connections, ec);
+    if (ec)
+        return Reason { ResultCode::SettingsInvalid, address + ": " + ec.message() };
+    net::co_spawn(m_io, accept(), net::detached);
+    return std::nullopt;
+}
+
+net::awaitable<void> TextServer::accept()
+{
+    net::steady_timer pause(m_io);
+    while (true) {
+        ErrorCode ec;
+        tcp::socket socket(m_io);
+        co_await m_acceptor.async_accept(socket, awaitInto(ec));
+        if (ec == net::error::operation_aborted)
+            co_return;
+        if (!ec) {
+            net::co_spawn(m_io, serve(std::move(socket)), net::detached);
+            continue;
+        }
+        pause.expires_after(acceptPause);
+        co_await pause.async_wait(awaitInto(ec));
+    }
+}
+
+net::awaitable<void> TextServer::serve(tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buf;
+    ErrorCode ec;
+    while (true) {
+        http::request<http::string_body> request;
+        stream.expires_after(idleTimeout);
+        co_await http::async_read(stream, buf, request, awaitInto(ec));
+        if (ec)
+            co_return;
+        auto answer = m_answer();
+        http::response<http::string_body> response { static_cast<http::status>(answer.status), 11 };
+        response.set(http::field::content_type, "text/plain; version=0.0.4");
+        response.keep_alive(request.keep_alive());
+        response.body() = std::move(answer.text);
+        response.prepare_payload();
+        co_await http::async_write(stream, response, awaitInto(ec));
+        if (ec || !request.keep_alive())
+            co_return;
+    }
+}
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/Traffic.cpp
@@ -0,0 +1,249 @@
+// Accepting callers, silent endpoints and draining.
+
+#include "router/Traffic.h"
+
+namespace jacinthspindle::router {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds sweepInterval { 100 };
+    // An engine stalls for 3 s on a dead stage and callers leave after 2 s without an event. The head is asked early
+    // enough for the work to go on elsewhere before that; usual pauses are far shorter.
+    constexpr milliseconds silenceBeforeInquiry { 450 };
+    constexpr milliseconds inquiryInterval { 300 };
+    constexpr milliseconds inquiryTimeout { 350 };
+    // Without an answer to an inquiry, the head itself counts as silent for work that has waited this long.
+    constexpr milliseconds silenceOfHead { 800 };
+    // The balancer asks every second and takes a daemon out after two misses.
+    constexpr milliseconds balancerLag { 2500 };
+    // Time to write the last answers before SIGKILL.
+    constexpr milliseconds drainMargin { 400 };
+    // A daemon that cannot check keys for much longer is better left out by the balancer.
+    constexpr milliseconds readyConfigurationAge { 3500 };
+    constexpr milliseconds acceptPause { 50 };
+
+} // namespace
+
+Traffic::Traffic(net::io_context& io, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
+    const RouterSettings& settings, ControlPort control, EngineControl& engines, const ConfigurationAge& age)
+    : m_io(io)
+    , m_journal(journal)
+    , m_settings(settings)
+    , m_control(std::move(control))
+    , m_engines(engines)
+    , m_age(age)
+    , m_pool(io.get_executor(), clock)
+    , m_context { io.get_executor(), clock, journal, metrics, m_pool, settings, m_control.postInput,
+        [this] { return m_view; } }
+    , m_acceptor(io)
+{
+}
+
+std::optional<Reason> Traffic::open()
+{
+    auto endpoint = parseAddress(m_settings.frontAddress);
+    ErrorCode ec = endpoint ? ErrorCode() : ErrorCode(net::error::invalid_argument);
+    if (!ec)
+        m_acceptor.open(endpoint->protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(*endpoint, ec);
+    if (!ec)
+        m_acceptor.listen(net::socket_base::max_listen_connections, ec);
+    if (ec)
+        return Reason { ResultCode::SettingsInvalid, m_settings.frontAddress + ": " + ec.message() };
+    net::co_spawn(m_io, acceptCallers(), net::detached);
+    net::co_spawn(m_io, sweep(), net::detached);
+    return std::nullopt;
+}
+
+net::awaitable<void> Traffic::acceptCallers()
+{
+    net::steady_timer pause(m_io);
+    while (m_acceptor.is_open()) {
+        ErrorCode ec;
+        tcp::socket socket(m_io);
+        co_await m_acceptor.async_accept(socket, awaitInto(ec));
+        if (!ec) {
+            auto session = std::make_shared<ClientSession>(*this, std::move(socket));
+            m_sessions.insert(session);
+            net::co_spawn(m_io, session->run(), net::detached);
+            continue;
+        }
+        if (ec == net::error::operation_aborted)
+            co_return;
+        // Out of descriptors, mostly: connections that end make room.
+        m_journal.write(LineKind::Warning, "accept-failed", { { "reason", ec.message() } });
+        pause.expires_after(acceptPause);
+        co_await pause.async_wait(awaitInto(ec));
+    }
+}
+
+void Traffic::publish(std::shared_ptr<const RoutingView> view)
+{
+    net::post(m_io, [this, view = std::move(view)] { m_view = view; });
+}
+
+void Traffic::deliver(std::vector<CoreDecision> decisions)
+{
+    net::post(m_io, [this, decisions = std::move(decisions)] {
+        for (const auto& decision : decisions) {
+            const auto& id = std::visit([](const auto& it) -> const RequestId& { return it.request; }, decision);
+            auto found = m_exchanges.find(id);
+            if (found != m_exchanges.end()) {
+                found->second->decide(decision);
+                continue;
+            }
+            // The caller left while the decision was on its way.
+            if (const auto* dispatch = std::get_if<Dispatch>(&decision))
+                m_control.postInput(CallerGone { dispatch->request });
+        }
+    });
+}
+
+RequestId Traffic::uniqueId(const std::string& wireId) const
+{
+    RequestId id(wireId);
+    for (int n = 2; m_exchanges.contains(id); ++n)
+        id = RequestId(wireId + '#' + std::to_string(n));
+    return id;
+}
+
+void Traffic::enter(const std::shared_ptr<Exchange>& exchange)
+{
+    m_exchanges.emplace(exchange->id(), exchange);
+}
+
+void Traffic::leave(const RequestId& id)
+{
+    m_exchanges.erase(id);
+}
+
+void Traffic::leave(const std::shared_ptr<ClientSession>& session)
+{
+    m_sessions.erase(session);
+}
+
+bool Traffic::isReady() const
+{
+    return m_view && !m_view->endpoints.empty() && !isDraining() && configurationAge() <= readyConfigurationAge;
+}
+
+void Traffic::noteReadiness()
+{
+    bool isNow = isReady();
+    if (m_wasReady == isNow)
+        return;
+    m_wasReady = isNow;
+    auto age = configurationAge();
+    m_journal.write(LineKind::Info, isNow ? "ready" : "not-ready",
+        { { "configuration_version", m_view ? m_view->configuration->version : 0 },
+            { "configuration_age_ms", age == Duration::max() ? -1 : millisecondsOf(age) },
+            { "endpoints", m_view ? m_view->endpoints.size() : 0 }, { "draining", isDraining() } });
+}
+
+net::awaitable<void> Traffic::sweep()
+{
+    net::steady_timer timer(m_io);
+    while (true) {
+        timer.expires_after(sweepInterval);
+        ErrorCode ec;
+        co_await timer.async_wait(awaitInto(ec));
+        if (ec)
+            co_return;
+        noteReadiness();
+        m_pool.sweep();
+        if (!m_exchanges.empty())
+            inquireSilent(m_context.clock.now());
+    }
+}
+
+void Traffic::inquireSilent(Instant now)
+{
+    for (const auto& [id, exchange] : m_exchanges) {
+        if (!exchange->head() || exchange->silentFor() < silenceBeforeInquiry)
+            continue;
+        auto& askedAt = m_inquiries[exchange->head()->address];
+        if (now - askedAt < inquiryInterval + inquiryTimeout)
+            continue;
+        askedAt = now;
+        net::co_spawn(m_io, inquire(*exchange->head()), net::detached);
+    }
+    std::erase_if(m_inquiries, [&](const auto& it) { return now - it.second > std::chrono::seconds(10); });
+}
+
+// Asks the head of chains which endpoints it waits for.
+net::awaitable<void> Traffic::inquire(EndpointSighting head)
+{
+    auto report = co_await m_engines.report(head.address, inquiryTimeout);
+    if (!report) {
+        std::vector<std::string> waiting;
+        for (const auto& [id, exchange] : m_exchanges) {
+            if (exchange->head() && exchange->head()->endpoint == head.endpoint
+                && exchange->silentFor() >= silenceOfHead)
+                waiting.push_back(exchange->wireId());
+        }
+        if (!waiting.empty())
+            moveAll(head.endpoint, head.address, waiting);
+        co_return;
+    }
+    std::unordered_map<std::string, std::vector<std::string>> byAddress;
+    for (const auto& it : report->stalled)
+        byAddress[it.address].push_back(it.request.value());
+    for (const auto& [address, wireIds] : byAddress) {
+        const auto* silent = m_view->findAddress(address);
+        moveAll(silent ? silent->endpoint : EndpointId(address), head.address, wireIds);
+    }
+}
+
+void Traffic::moveAll(const EndpointId& silent, const std::string& headAddress, const std::vector<std::string>& wireIds)
+{
+    m_journal.write(LineKind::Warning, "endpoint-silent",
+        { { "endpoint", silent.value() }, { "head", headAddress }, { "requests", wireIds.size() } });
+    m_control.reportSilent(silent);
+    for (const auto& [id, exchange] : m_exchanges) {
+        bool isNamed = std::find(wireIds.begin(), wireIds.end(), exchange->wireId()) != wireIds.end();
+        // The report is some hundred milliseconds old; work that has moved on since is left alone.
+        if (isNamed && exchange->head() && exchange->head()->address == headAddress
+            && exchange->silentFor() >= silenceBeforeInquiry / 2)
+            exchange->moveAway(silent);
+    }
+}
+
+void Traffic::drain(std::function<void()> onIdle)
+{
+    net::post(m_io, [this, onIdle = std::move(onIdle)]() mutable {
+        if (isDraining())
+            return;
+        m_drainedAt = m_context.clock.now();
+        net::co_spawn(m_io, finishDrain(std::move(onIdle)), net::detached);
+    });
+}
+
+net::awaitable<void> Traffic::finishDrain(std::function<void()> onIdle)
+{
+    net::steady_timer timer(m_io);
+    ErrorCode ec;
+    timer.expires_after(balancerLag);
+    co_await timer.async_wait(awaitInto(ec));
+    m_acceptor.close(ec);
+    auto lastMoment = *m_drainedAt + m_settings.shutdownGrace - drainMargin;
+    while (m_context.clock.now() < lastMoment) {
+        // A session leaves the set while its coroutine ends, so that the set is copied.
+        auto sessions = m_sessions;
+        for (const auto& it : sessions)
+            it->closeIfIdle();
+        if (m_exchanges.empty() && m_sessions.empty())
+            break;
+        timer.expires_after(sweepInterval);
+        co_await timer.async_wait(awaitInto(ec));
+    }
+    m_journal.write(LineKind::Info, "drained",
+        { { "in_progress", m_exchanges.size() }, { "took_ms", millisecondsOf(m_context.clock.now() - *m_drainedAt) } });
+    onIdle();
+}
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/Traffic.h
@@ -0,0 +1,90 @@
+// The traffic thread: accepts callers, runs their requests and looks after silent endpoints.
+
+#pragma once
+
+#include "router/ClientSession.h"
+#include "router/RoutingView.h"
+
+#include <atomic>
+#include <functional>
+#include <set>
+
+namespace jacinthspindle::router {
+
+// What the traffic thread tells the control thread. The functions are thread-safe and do not block.
+struct ControlPort {
+    std::function<void(CoreInput)> postInput;
+    std::function<void(EndpointId)> reportSilent; // An engine names this endpoint as not answering.
+};
+
+// Age of the configuration, which the control thread writes and the traffic thread reads.
+class ConfigurationAge {
+public:
+    void confirm(Instant at) { m_confirmedAt.store(at.time_since_epoch().count()); }
+    // Time since the platform last vouched for the configuration; Duration::max() before the first time.
+    Duration at(Instant now) const
+    {
+        auto confirmedAt = m_confirmedAt.load();
+        return confirmedAt ? now - Instant(Duration(confirmedAt)) : Duration::max();
+    }
+
+private:
+    std::atomic<int64_t> m_confirmedAt { 0 };
+};
+
+// Except where stated otherwise, functions are called on the thread that runs io().
+class Traffic {
+public:
+    Traffic(net::io_context&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, ControlPort,
+        EngineControl&, const ConfigurationAge&);
+
+    // Opens the addresses; nothing is served before. Returns why one cannot be opened.
+    std::optional<Reason> open();
+
+    // Thread-safe.
+    void publish(std::shared_ptr<const RoutingView>);
+    void deliver(std::vector<CoreDecision>);
+    // Stops taking new connections after the balancer has noticed, and calls onIdle once nothing is in progress or the
+    // grace is over.
+    void drain(std::function<void()> onIdle);
+
+    // For sessions.
+    const ExchangeContext& context() const { return m_context; }
+    const std::shared_ptr<const RoutingView>& view() const { return m_view; }
+    bool isDraining() const { return m_drainedAt.has_value(); }
+    Duration configurationAge() const { return m_age.at(m_context.clock.now()); }
+    // Registers a request under an identifier that no other one in progress has.
+    RequestId uniqueId(const std::string& wireId) const;
+    void enter(const std::shared_ptr<Exchange>&);
+    void leave(const RequestId&);
+    void leave(const std::shared_ptr<ClientSession>&);
+
+    bool isReady() const;
+
+private:
+    net::awaitable<void> acceptCallers();
+    net::awaitable<void> sweep();
+    net::awaitable<void> inquire(EndpointSighting head);
+    net::awaitable<void> finishDrain(std::function<void()> onIdle);
+    void inquireSilent(Instant now);
+    void moveAll(const EndpointId& silent, const std::string& headAddress, const std::vector<std::string>& wireIds);
+    void noteReadiness();
+
+    net::io_context& m_io;
+    Journal& m_journal;
+    const RouterSettings& m_settings;
+    ControlPort m_control;
+    EngineControl& m_engines;
+    const ConfigurationAge& m_age;
+    EndpointPool m_pool;
+    ExchangeContext m_context;
+    tcp::acceptor m_acceptor;
+    std::shared_ptr<const RoutingView> m_view; // Null before the first configuration.
+    std::unordered_map<RequestId, std::shared_ptr<Exchange>> m_exchanges;
+    std::set<std::shared_ptr<ClientSession>> m_sessions;
+    std::unordered_map<std::string, Instant> m_inquiries; // By address of the head: when it was last asked.
+    std::optional<Instant> m_drainedAt;
+    std::optional<bool> m_wasReady; // As last logged.
+};
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/routerd/Main.cpp
@@ -0,0 +1,203 @@
+// jacinthspindle-routerd: the daemon of an entry host on the users' platform.
+
+#include "platform/Platform.h"
+#include "platform/Settings.h"
+#include "router/BootClock.h"
+#include "router/Control.h"
+#include "router/TextServer.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <tclap/CmdLine.h>
+#include <thread>
+#include <unistd.h>
+
+namespace {
+
+using namespace jacinthspindle;
+using router::LineKind;
+
+struct Options {
+    std::string settingsFile;
+    std::string metricsPort; // Empty: no metrics are served.
+};
+
+std::string environmentOr(const char* name, const std::string& fallback)
+{
+    // Read before any thread starts.
+    const char* value = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+    return value ? value : fallback;
+}
+
+std::optional<Options> parseOptions(int argc, char** argv)
+{
+    try {
+        TCLAP::CmdLine line("Routes requests on an entry host of the platform.", ' ', "0.2.0");
+        TCLAP::ValueArg<std::string> settings("", "settings",
+            "Settings file of the platform; JACINTHSPINDLE_NODE_FILE names it otherwise.", false,
+            environmentOr("JACINTHSPINDLE_NODE_FILE", "/etc/jacinthspindle/settings.json"), "path", line);
+        TCLAP::ValueArg<std::string> metrics("", "metrics-port", "Port on which metrics are served at any path.", false,
+            environmentOr("JACINTHSPINDLE_METRICS_PORT", ""), "port", line);
+        line.setExceptionHandling(false);
+        line.parse(argc, argv);
+        return Options { settings.getValue(), metrics.getValue() };
+    } catch (const TCLAP::ExitException& exit) {
+        std::exit(exit.getExitStatus()); // NOLINT(concurrency-mt-unsafe)
+    } catch (const TCLAP::ArgException& error) {
+        std::cerr << "jacinthspindle-routerd: " << error.error() << ' ' << error.argId() << '\n';
+        return std::nullopt;
+    }
+}
+
+std::optional<platform::PlatformSettings> readSettings(const std::string& path, Reason& reason)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        reason = { ResultCode::SettingsInvalid, path + ": cannot be read" };
+        return std::nullopt;
+    }
+    return platform::decodeSettings(text.str(), reason);
+}
+
+std::string hostOf(const std::string& address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+PlannerLeaseConfig leaseConfigOf(const router::RouterSettings& settings, const Clock& clock)
+{
+    PlannerLeaseConfig config;
+    // The time tells the starts of one host apart.
+    config.holder = settings.host.value() + '/' + std::to_string(clock.now().time_since_epoch().count());
+    // At the first start of all hosts one of them claims the lease, and the others do not contend for it.
+    if (!settings.isPreferredPlanner)
+        config.firstClaimDelay = std::chrono::milliseconds(1500);
+    return config;
+}
+
+int fail(router::Journal& journal, const Reason& reason)
+{
+    journal.write(
+        LineKind::Warning, "start-failed", { { "code", static_cast<int>(reason.code) }, { "reason", reason.text } });
+    return exitStatus(reason.code);
+}
+
+// Both event loops and all that runs on them.
+class Process {
+public:
+    Process(const platform::PlatformSettings& settings, const Clock& clock, router::Journal& journal)
+        : m_settings(settings)
+        , m_journal(journal)
+        , m_configurations(m_controlIo.get_executor(), clock, journal, settings.storeAddress)
+        , m_endpoints(m_controlIo.get_executor(), journal, settings.storeAddress)
+        , m_lease(m_controlIo.get_executor(), settings.storeAddress)
+        , m_planningEngines(m_controlIo.get_executor())
+        , m_trafficEngines(m_trafficIo.get_executor())
+        , m_control(m_controlIo, clock, journal, m_metrics, settings.router,
+              { m_configurations, m_endpoints, m_lease, m_planningEngines }, leaseConfigOf(settings.router, clock),
+              m_age)
+        , m_traffic(m_trafficIo, clock, journal, m_metrics, settings.router,
+              { [this](CoreInput input) { m_control.postInput(std::move(input)); },
+                  [this](EndpointId id) { m_control.reportSilent(std::move(id)); } },
+              m_trafficEngines, m_age)
+        , m_ready(m_trafficIo,
+              [this] {
+                  return router::TextAnswer { m_traffic.isReady() ? 200U : 503U, {} };
+              })
+        , m_metricsServer(m_controlIo,
+              [this] {
+                  return router::TextAnswer { 200, m_metrics.prometheusText() };
+              })
+        , m_signals(m_controlIo, SIGTERM, SIGINT, SIGHUP)
+    {
+        m_metrics.addGauge("log_lines_suppressed", "Log lines that were left out since the start",
+            [this] { return static_cast<double>(m_journal.suppressed()); });
+    }
+
+    std::optional<Reason> open()
+    {
+        if (auto reason = m_traffic.open())
+            return reason;
+        if (auto reason = m_ready.open(m_settings.router.readyAddress))
+            return reason;
+        if (!m_settings.router.metricsAddress.empty())
+            return m_metricsServer.open(m_settings.router.metricsAddress);
+        return std::nullopt;
+    }
+
+    // Returns when the process has drained.
+    void run()
+    {
+        m_control.start(m_traffic);
+        awaitSignal();
+        std::thread traffic([this] { m_trafficIo.run(); });
+        m_controlIo.run();
+        m_trafficIo.stop();
+        traffic.join();
+    }
+
+private:
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](const router::ErrorCode& ec, int number) {
+            if (ec)
+                return;
+            if (number == SIGHUP) {
+                // The addresses of a running process cannot change, and everything else comes from the store.
+                m_journal.write(LineKind::Info, "reload", { { "signal", number }, { "changed", false } });
+                return awaitSignal();
+            }
+            m_journal.write(LineKind::Info, "stop-requested", { { "signal", number } });
+            m_traffic.drain([this] { m_controlIo.stop(); });
+            awaitSignal();
+        });
+    }
+
+    const platform::PlatformSettings& m_settings;
+    router::Journal& m_journal;
+    daemon::Metrics m_metrics;
+    router::ConfigurationAge m_age;
+    router::net::io_context m_controlIo { 1 };
+    router::net::io_context m_trafficIo { 1 };
+    platform::StoreConfigurationSource m_configurations;
+    platform::StoreEndpointSource m_endpoints;
+    platform::StoreLease m_lease;
+    platform::WorkerControl m_planningEngines;
+    platform::WorkerControl m_trafficEngines;
+    router::Control m_control;
+    router::Traffic m_traffic;
+    router::TextServer m_ready;
+    router::TextServer m_metricsServer;
+    router::net::signal_set m_signals;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    ::signal(SIGPIPE, SIG_IGN);
+    auto options = parseOptions(argc, argv);
+    if (!options)
+        return exitStatus(ResultCode::UsageInvalid);
+    router::BootClock clock;
+    Reason reason;
+    auto settings = readSettings(options->settingsFile, reason);
+    router::Journal journal(clock, settings ? settings->router.host.value() : "unknown", STDOUT_FILENO);
+    if (!settings)
+        return fail(journal, reason);
+    if (!options->metricsPort.empty())
+        settings->router.metricsAddress = hostOf(settings->router.readyAddress) + ':' + options->metricsPort;
+    journal.write(LineKind::Info, "start",
+        { { "data_centre", settings->router.dataCentre.value() }, { "front", settings->router.frontAddress },
+            { "store", settings->storeAddress } });
+    Process process(*settings, clock, journal);
+    if (auto failure = process.open())
+        return fail(journal, *failure);
+    process.run();
+    journal.write(LineKind::Info, "stop");
+    return 0;
+}
