Close gaps after losses sooner: lease given back, pauses, retries at the same head, moves into gaps

Daemons sent work to the leaving stages one by one, each refusal used up one of the two attempts, and the planner was stopped with gaps open; its successor took over after 4 s.

Change: a request waits at most 4 % of its deadline; a refusing or unreachable stage is left alone for 0.4 s, doubling up to 3.2 s, unless it is the last one for a layer; attempts at the same head do not count as further endpoints; a planner that receives SIGTERM gives the lease back; layers without any copy are covered as far as memory goes, and an engine whose layers have other copies moves into a gap; repetitions use the fixed part of the platform's budget.

--- a/include/spindlecore/LayerPlacement.h
+++ b/include/spindlecore/LayerPlacement.h
@@ -30,7 +30,8 @@
 // Returns the orders that bring the engines closer to one whole copy of the model in each data centre whose memory
 // holds one. Engines without layers fill the gaps of their data centre first and then hold the layers that have the
 // fewest copies. Where no such engine is left, the neighbours of a gap extend their ranges, as long as each keeps
-// memory for requests. No order exceeds the memory of an engine, and no order gives up a layer that it holds.
+// memory for requests; failing that, an engine whose layers have other copies in the data centre moves into the gap. No
+// order exceeds the memory of an engine, and no order gives up the last copy of a layer in a data centre.
 std::vector<PlacementOrder> planPlacement(const ModelLayout&, const std::vector<PlacedEngine>&);
 
 // Layers that the memory of a kind holds, with none left for requests; 0 for an unknown kind.
--- a/include/spindlecore/PlannerLease.h
+++ b/include/spindlecore/PlannerLease.h
@@ -16,14 +16,14 @@
     std::string holder; // Unique per process start.
     Duration firstClaimDelay {}; // From the first read of an absent row to the claim; 0 for the preferred daemon.
     // Between two writes of the holder.
-    Duration renewEvery = std::chrono::milliseconds(1500);
+    Duration renewEvery = std::chrono::milliseconds(1000);
     // Without a confirmed write for this long the holder stops giving orders; less than takeoverAfter, so that it has
     // stopped before another daemon starts.
-    Duration validFor = std::chrono::milliseconds(3000);
+    Duration validFor = std::chrono::milliseconds(2600);
     // Between two reads of a daemon that does not hold the lease.
-    Duration watchEvery = std::chrono::milliseconds(4000);
+    Duration watchEvery = std::chrono::milliseconds(3000);
     // A row that has not changed for this long between two reads has lost its holder.
-    Duration takeoverAfter = std::chrono::milliseconds(3500);
+    Duration takeoverAfter = std::chrono::milliseconds(2900);
     // After a call that failed.
     Duration retryEvery = std::chrono::milliseconds(500);
 };
@@ -38,12 +38,19 @@
     struct Write {
         uint64_t expectedVersion = 0; // Of the row; 0: it must not exist.
     };
-    using Action = std::variant<std::monostate, Read, Write>;
+    // Write the row without a holder on the same condition, so that another daemon takes the lease at once.
+    struct Release {
+        uint64_t expectedVersion = 0;
+    };
+    using Action = std::variant<std::monostate, Read, Write, Release>;
 
     // Returns what is to be done now.
     Action next(Instant now);
 
-    // The row was read: its version, 0 when absent, and its holder.
+    // This daemon leaves: it gives the lease back if it holds it, and takes no other action any more.
+    void resign() { m_isResigning = true; }
+
+    // The row was read: its version, 0 when absent, and its holder; empty after a release.
     void wasRead(Instant now, uint64_t version, const std::string& holder);
     void readFailed(Instant now);
 
@@ -65,6 +72,7 @@
     enum class State : uint8_t { Unknown, Watching, Claiming, Holding };
 
     void enter(State, Instant nextAt);
+    Action resigned();
 
     PlannerLeaseConfig m_config;
     State m_state = State::Unknown;
@@ -73,6 +81,7 @@
     Instant m_versionSeenAt {}; // When m_version was first seen; valid while watching.
     std::optional<Instant> m_confirmedAt; // When the last write that took effect was sent, while nobody else wrote.
     uint64_t m_terms = 0;
+    bool m_isResigning = false;
 };
 
 } // namespace jacinthspindle
--- a/include/spindlecore/spindlecore.h
+++ b/include/spindlecore/spindlecore.h
@@ -6,6 +6,7 @@
 #include "spindlecore/Clock.h" // IWYU pragma: export
 #include "spindlecore/DecisionCore.h" // IWYU pragma: export
 #include "spindlecore/Decisions.h" // IWYU pragma: export
+#include "spindlecore/EndpointPauses.h" // IWYU pragma: export
 #include "spindlecore/EventSplitter.h" // IWYU pragma: export
 #include "spindlecore/LayerPlacement.h" // IWYU pragma: export
 #include "spindlecore/LimitShares.h" // IWYU pragma: export
--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -217,9 +217,34 @@
         return gaps;
     }
 
-    // Closes gaps from both sides. A gap that the neighbours cannot close as a whole is left alone: chains use another
-    // data centre for it, and a smaller gap would not spare them that.
-    void extendNeighbours(const ModelLayout& model, const std::vector<Engine*>& local)
+    // True when every layer of the engine has another copy in its data centre.
+    bool isRedundant(const Engine& engine, const std::vector<uint32_t>& copies)
+    {
+        for (uint32_t layer = engine.layers.first; layer < engine.layers.end; ++layer) {
+            if (copies[layer] < 2)
+                return false;
+        }
+        return true;
+    }
+
+    // Moves an engine whose layers have other copies into the gap; false when there is none that holds enough.
+    bool moveInto(const ModelLayout& model, const std::vector<Engine*>& local, LayerRange gap)
+    {
+        auto copies = countCopies(model, local);
+        for (auto* it : local) {
+            bool isFree = it->covers() && !it->known->isBusy && !it->isOrdered && isRedundant(*it, copies);
+            if (!isFree || it->extended < gap.count())
+                continue;
+            order(*it, gap);
+            return true;
+        }
+        return false;
+    }
+
+    // Closes gaps from both sides, or by an engine that is not needed where it is. A gap that cannot be closed as a
+    // whole is left alone, unless some of its layers have no copy anywhere: chains use another data centre for it, and
+    // a smaller gap would not spare them that.
+    void closeGaps(const ModelLayout& model, const std::vector<Engine*>& local, const std::vector<Engine*>& all)
     {
         for (const auto& gap : gapsOf(countCopies(model, local))) {
             std::vector<Engine> before;
@@ -229,6 +254,12 @@
                 continue;
             for (size_t i = 0; i < local.size(); ++i)
                 *local[i] = before[i];
+            if (moveInto(model, local, gap))
+                continue;
+            for (const auto& missing : gapsOf(countCopies(model, all))) {
+                if (missing.first >= gap.first && missing.end <= gap.end)
+                    closeGap(local, missing);
+            }
         }
     }
 
@@ -272,7 +303,7 @@
         if (isNew)
             placeWholeCopy(model, staying);
         fillEmpty(model, local, all);
-        extendNeighbours(model, local);
+        closeGaps(model, local, all);
     }
     std::vector<PlacementOrder> orders;
     for (const auto& it : engines) {
--- a/src/core/placement/PlannerLease.cpp
+++ b/src/core/placement/PlannerLease.cpp
@@ -17,8 +17,20 @@
     m_nextAt = nextAt;
 }
 
+// The result of a release does not matter: without it, the lease runs out.
+PlannerLease::Action PlannerLease::resigned()
+{
+    bool isHeld = m_confirmedAt.has_value() && m_state == State::Holding;
+    m_confirmedAt.reset();
+    if (!isHeld)
+        return {};
+    return Release { m_version };
+}
+
 PlannerLease::Action PlannerLease::next(Instant now)
 {
+    if (m_isResigning)
+        return resigned();
     if (now < m_nextAt)
         return {};
     if (m_state == State::Claiming || m_state == State::Holding)
@@ -37,6 +49,8 @@
     m_confirmedAt.reset();
     if (!version)
         return enter(State::Claiming, now + m_config.firstClaimDelay);
+    if (holder.empty())
+        return enter(State::Claiming, now);
     if (!isUnchanged)
         m_versionSeenAt = now;
     if (now - m_versionSeenAt >= m_config.takeoverAfter)
--- /dev/null
+++ b/src/core/routing/EndpointPauses.cpp
@@ -0,0 +1,42 @@
+// Begin and end of pauses.
+
+#include "spindlecore/EndpointPauses.h"
+
+#include <algorithm>
+
+namespace jacinthspindle {
+
+bool EndpointPauses::failed(Instant now, const EndpointId& id)
+{
+    auto [it, isNew] = m_pauses.try_emplace(id);
+    auto& pause = it->second;
+    if (pause.isInProgress)
+        return false;
+    pause.length = isNew ? shortest : std::min(longest, pause.length * 2);
+    pause.until = now + pause.length;
+    pause.isInProgress = true;
+    return true;
+}
+
+std::vector<EndpointId> EndpointPauses::takeEnded(Instant now)
+{
+    std::vector<EndpointId> ended;
+    for (auto& [id, pause] : m_pauses) {
+        if (!pause.isInProgress || now < pause.until)
+            continue;
+        pause.isInProgress = false;
+        ended.push_back(id);
+    }
+    // An endpoint that worked for as long as twice its pause has recovered.
+    std::erase_if(m_pauses,
+        [&](const auto& it) { return !it.second.isInProgress && now >= it.second.until + 2 * it.second.length; });
+    return ended;
+}
+
+bool EndpointPauses::isPaused(const EndpointId& id) const
+{
+    auto it = m_pauses.find(id);
+    return it != m_pauses.end() && it->second.isInProgress;
+}
+
+} // namespace jacinthspindle
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -16,12 +16,21 @@
     constexpr milliseconds retryInterval { 250 };
     constexpr milliseconds tickInterval { 100 };
 
+    // Part of the deadline that a request may wait for a slot: 0.8 s of a stream's 20 s. Callers leave a stream after 2
+    // s without an event, and a refusal before that lets them come back.
+    constexpr uint32_t queueSharePercent = 4;
+
+    // The platform allows a fixed number of repetitions beside the share of requests: 425 in 10 s, which are more than
+    // two thirds of the users' requests in that time. Up to 20 daemons use no more than this share of it together.
+    constexpr double fixedRetryShare = 0.2;
+
     CoreConfig coreConfigOf(const RouterSettings& settings)
     {
         CoreConfig config;
         config.dataCentre = settings.dataCentre;
         config.host = settings.host;
-        config.retryPercent = static_cast<uint32_t>(settings.retryShare * 100);
+        config.queueSharePercent = queueSharePercent;
+        config.retryPercent = static_cast<uint32_t>((settings.retryShare + fixedRetryShare) * 100);
         return config;
     }
 
@@ -52,7 +61,24 @@
 
 void Control::postInput(CoreInput input)
 {
-    net::post(m_io, [this, input = std::move(input)] { apply(input); });
+    net::post(m_io, [this, input = std::move(input)] {
+        if (const auto* failed = std::get_if<AttemptFailed>(&input))
+            pauseAfter(*failed);
+        apply(input);
+    });
+}
+
+// Leaves an endpoint alone that could not be reached or refused its part of a chain, so that not each request has to
+// find out by itself. The last one that can do its work is never left alone.
+void Control::pauseAfter(const AttemptFailed& failed)
+{
+    if (failed.kind != FailureKind::ConnectFailed)
+        return;
+    auto isOut = [this](const EndpointId& id) { return m_pauses.isPaused(id) || m_directory.isSilent(id); };
+    if (!m_directory.isReplaceable(failed.endpoint, isOut) || !m_pauses.failed(m_clock.now(), failed.endpoint))
+        return;
+    m_journal.write(LineKind::Info, "endpoint-paused", { { "endpoint", failed.endpoint.value() } });
+    apply(EndpointStateSeen { failed.endpoint, EndpointStateSource::Health, EndpointLife::Down });
 }
 
 void Control::reportSilent(EndpointId id)
@@ -168,6 +194,8 @@
         timer.expires_after(tickInterval);
         ErrorCode ec;
         co_await timer.async_wait(awaitInto(ec));
+        for (const auto& it : m_pauses.takeEnded(m_clock.now()))
+            apply(EndpointStateSeen { it, EndpointStateSource::Health, EndpointLife::Serving });
         apply(Tick { number });
     }
 }
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -25,6 +25,9 @@
     // traffic must outlive the event loop.
     void start(Traffic& traffic);
 
+    // The process has begun to drain.
+    void resign() { m_planner.resign(); }
+
     // Thread-safe.
     void postInput(CoreInput);
     void reportSilent(EndpointId);
@@ -34,6 +37,7 @@
     net::awaitable<void> followEndpoints();
     net::awaitable<void> tick();
     void apply(const CoreInput&);
+    void pauseAfter(const AttemptFailed&);
     void adopt(std::shared_ptr<const RoutingConfiguration>);
     void publish();
     void noteDependency(bool& isUp, bool isUpNow, const char* name, const Reason&);
@@ -48,6 +52,7 @@
     Traffic* m_traffic = nullptr;
     DecisionCore m_core;
     EndpointDirectory m_directory;
+    EndpointPauses m_pauses;
     LayoutPlanner m_planner;
     std::shared_ptr<const RoutingConfiguration> m_configuration;
     std::shared_ptr<const RouteIndex> m_routes; // Of m_configuration.
--- a/src/router/EndpointDirectory.cpp
+++ b/src/router/EndpointDirectory.cpp
@@ -2,6 +2,8 @@
 
 #include "router/EndpointDirectory.h"
 
+#include <algorithm>
+
 namespace jacinthspindle::router {
 
 bool EndpointDirectory::update(Instant now, const std::vector<EndpointSighting>& listed)
@@ -54,6 +56,25 @@
     return recovered;
 }
 
+bool EndpointDirectory::isReplaceable(const EndpointId& id, const std::function<bool(const EndpointId&)>& isOut) const
+{
+    const auto* endpoint = find(id);
+    if (!endpoint)
+        return false;
+    std::vector<const EndpointSighting*> others;
+    for (const auto& [otherId, other] : m_endpoints) {
+        if (otherId != id && other.service == endpoint->service && !other.isLeaving && !isOut(otherId))
+            others.push_back(&other);
+    }
+    for (uint32_t layer = endpoint->layers.first; layer < endpoint->layers.end; ++layer) {
+        bool isHeld = std::any_of(
+            others.begin(), others.end(), [&](const auto* other) { return other->layers.contains(layer); });
+        if (!isHeld)
+            return false;
+    }
+    return !others.empty();
+}
+
 std::vector<EndpointSighting> EndpointDirectory::endpoints() const
 {
     std::vector<EndpointSighting> all;
--- a/src/router/EndpointDirectory.h
+++ b/src/router/EndpointDirectory.h
@@ -5,6 +5,7 @@
 
 #include "router/Ports.h"
 
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -27,6 +28,12 @@
     // Returns the endpoints that have sent a heartbeat since they were marked as silent, and forgets the marks.
     std::vector<EndpointId> takeRecovered();
 
+    bool isSilent(const EndpointId& id) const { return m_silent.contains(id); }
+
+    // True when other endpoints of the service can do all that this one does: each layer that it holds is held by
+    // another one that neither leaves nor is out.
+    bool isReplaceable(const EndpointId&, const std::function<bool(const EndpointId&)>& isOut) const;
+
     std::vector<EndpointSighting> endpoints() const;
     const EndpointSighting* find(const EndpointId&) const;
     Instant updatedAt() const { return m_updatedAt; }
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -17,8 +17,8 @@
     // A request that must not run twice is sent over a connection that was used just now: an older one may be about to
     // be closed, and then nobody knows whether the request ran.
     constexpr milliseconds freshIdle { 400 };
-    // Attempts of a stream whose endpoints went silent one after the other.
-    constexpr uint32_t maxLostSends = 3;
+    // Attempts of one request, whatever they ended with; a chain meets lost stages one after the other.
+    constexpr uint32_t maxSends = 4;
     // A refusal is repeated by the caller only if it can come back while part of its time is left.
     constexpr int retryAfterShare = 4;
     constexpr size_t maxAnswerBytes = size_t { 16 } << 20;
@@ -189,15 +189,23 @@
 
 bool Exchange::mayRepeat(const AttemptResult& result) const
 {
-    if (timeLeft() <= Duration::zero() || result.end == AttemptEnd::TimedOut)
+    if (timeLeft() <= Duration::zero() || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::OutOfAttempts)
         return false;
     if (result.end == AttemptEnd::NotSent)
         return true;
-    // Endpoints that went silent do not count against the route's attempts.
-    bool hasAttempts = m_sends - m_lostSends < m_request.route.maxAttempts && m_lostSends <= maxLostSends;
+    if (m_sends >= maxSends)
+        return false;
+    if (result.end == AttemptEnd::NotExecuted && m_request.isModel)
+        return true; // Another chain may have the same head, which is no further endpoint; see maySendTo().
+    bool hasAttempts = m_sentTo.size() < m_request.route.maxAttempts;
     return hasAttempts && (result.end == AttemptEnd::NotExecuted || mayRunAgain());
 }
 
+bool Exchange::maySendTo(const EndpointId& head) const
+{
+    return m_sentTo.contains(head) || m_sentTo.size() < m_request.route.maxAttempts;
+}
+
 net::awaitable<ExchangeEnd> Exchange::refuse(const Refuse& refused)
 {
     auto longest = std::max(Duration::zero(), timeLeft()) / retryAfterShare;
@@ -263,6 +271,8 @@
     const auto& first = dispatch.chain.front().endpoint;
     const auto* head = view->findEndpoint(first);
     auto chain = chainText(*view, dispatch.chain);
+    if (head && !maySendTo(first))
+        co_return AttemptResult { AttemptEnd::OutOfAttempts, {}, FailureKind::StreamBroken, "attempts of the route" };
     if (!head || !chain)
         co_return AttemptResult { AttemptEnd::NotSent, first, FailureKind::ConnectFailed, "endpoint has gone" };
     m_head = *head;
@@ -279,6 +289,7 @@
     std::unique_ptr<Parser> parser;
     m_progressAt = m_context.clock.now();
     ++m_sends;
+    m_sentTo.insert(first);
     bool hadRun = m_mayHaveRun;
     m_mayHaveRun = true;
     connection->stream.expires_after(std::max<Duration>(timeLeft(), milliseconds(1)) + deadlineGrace);
@@ -298,8 +309,10 @@
     m_connection = nullptr;
     if (result.end == AttemptEnd::NotExecuted)
         m_mayHaveRun = hadRun;
-    if (result.kind == FailureKind::Stalled)
+    if (result.kind == FailureKind::Stalled) {
         ++m_lostSends;
+        m_sentTo.erase(first);
+    }
     bool isReusable = result.end != AttemptEnd::CallerGone && parser && parser->is_done() && parser->keep_alive()
         && !isForeign && !connection->buffer.size() && !m_isCallerGone && !m_movedFrom;
     if (isReusable)
@@ -396,8 +409,11 @@
     const auto& names = m_context.settings.headers;
     auto status = header.result_int();
     bool hasNotRun = header.count(names.notExecuted) || status == 421;
+    // A stage of a chain refuses when it is lost, leaves or is short of memory. It is avoided like one that cannot be
+    // reached; taken for full, it would make everything wait that needs its layers.
+    auto kind = m_request.isModel ? FailureKind::ConnectFailed : FailureKind::Refused;
     if (hasNotRun)
-        return { AttemptEnd::NotExecuted, faultOf(header), FailureKind::Refused, "not executed" };
+        return { AttemptEnd::NotExecuted, faultOf(header), kind, "not executed" };
     if (!header.count(names.signature) || header.count(http::field::content_encoding))
         return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "not the endpoint's answer" };
     http::response<http::string_body> answer;
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace jacinthspindle::router {
 
@@ -80,7 +81,7 @@
     Duration silentFor() const;
 
 private:
-    enum class AttemptEnd : uint8_t { Complete, NotSent, NotExecuted, Failed, CallerGone, TimedOut };
+    enum class AttemptEnd : uint8_t { Complete, NotSent, OutOfAttempts, NotExecuted, Failed, CallerGone, TimedOut };
     struct AttemptResult {
         AttemptEnd end = AttemptEnd::NotSent;
         EndpointId atFault; // Empty when it is not known.
@@ -108,6 +109,7 @@
 
     bool mayRepeat(const AttemptResult&) const;
     bool mayRunAgain() const;
+    bool maySendTo(const EndpointId&) const;
     Duration timeLeft() const { return m_request.deadline - m_context.clock.now(); }
     void closeConnection();
     net::awaitable<ExchangeEnd> sendError(ResultCode, unsigned status, std::optional<Duration> retryAfter);
@@ -126,8 +128,9 @@
     std::optional<EndpointId> m_movedFrom; // Set when the running attempt was ended by moveAway().
     Instant m_progressAt {}; // Last bytes of the running attempt, or when it was sent.
 
-    uint32_t m_sends = 0; // Endpoints to which the request was sent.
-    uint32_t m_lostSends = 0; // Of those, endpoints that went silent.
+    uint32_t m_sends = 0; // Attempts that were sent.
+    uint32_t m_lostSends = 0; // Of those, attempts that an endpoint's silence ended.
+    std::set<EndpointId> m_sentTo; // Endpoints to which the request was sent and that did not go silent.
     bool m_mayHaveRun = false; // Some endpoint may have run the request.
     bool m_hasBegun = false; // The caller has received a part of the answer.
     EventSplitter m_events;
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -76,6 +76,11 @@
             m_lease.readFailed(m_clock.now());
         co_return;
     }
+    if (const auto* release = std::get_if<PlannerLease::Release>(&action)) {
+        m_journal.write(LineKind::Info, "planner-lease-released");
+        co_await m_store.write(release->expectedVersion, {});
+        co_return;
+    }
     const auto* write = std::get_if<PlannerLease::Write>(&action);
     if (!write)
         co_return;
--- a/src/router/LayoutPlanner.h
+++ b/src/router/LayoutPlanner.h
@@ -20,6 +20,8 @@
     {
         m_configuration = std::move(configuration);
     }
+    // The process ends soon: another daemon is to plan.
+    void resign() { m_lease.resign(); }
     bool isHolder() const { return m_lease.isHolder(m_clock.now()); }
 
 private:
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -152,6 +152,7 @@
                 return awaitSignal();
             }
             m_journal.write(LineKind::Info, "stop-requested", { { "signal", number } });
+            m_control.resign();
             m_traffic.drain([this] { m_controlIo.stop(); });
             awaitSignal();
         });
--- a/test/core/PlannerLeaseTest.cpp
+++ b/test/core/PlannerLeaseTest.cpp
@@ -92,6 +92,28 @@
     CHECK(*gained - died <= 8s);
 }
 
+TEST_CASE("a holder that leaves gives the lease back, and the next daemon that looks takes it")
+{
+    Row row;
+    PlannerLease first(configOf("a"));
+    PlannerLease second(configOf("b", 1500ms));
+    for (auto now = start; now < start + 5s; now += 100ms) {
+        step(first, "a", row, now);
+        step(second, "b", row, now);
+    }
+    first.resign();
+    auto action = first.next(start + 5s);
+    REQUIRE(std::holds_alternative<PlannerLease::Release>(action));
+    REQUIRE(std::get<PlannerLease::Release>(action).expectedVersion == row.version);
+    row = { row.version + 1, "" };
+    CHECK_FALSE(first.isHolder(start + 5s));
+    CHECK(std::holds_alternative<std::monostate>(first.next(start + 6s)));
+    auto latest = start + 5s + configOf("b").watchEvery + 200ms;
+    for (auto now = start + 5s; now < latest; now += 100ms)
+        step(second, "b", row, now);
+    CHECK(second.isHolder(latest - 100ms));
+}
+
 TEST_CASE("a holder whose answers are lost finds its own claim in the row")
 {
     Row row;
--- a/test/router/ExchangeTest.cpp
+++ b/test/router/ExchangeTest.cpp
@@ -233,3 +233,21 @@
     CHECK(statusOf(answer) == 503);
     CHECK_FALSE(headerOf(answer, "Retry-After").empty());
 }
+
+// Guards against requests that wait until their callers leave, because one stage refused and counted as full.
+TEST_CASE("a stage that refuses an attempt makes later requests neither wait nor fail")
+{
+    std::atomic<int> refusals { 0 };
+    ScriptedServer server([&](const std::string& request) {
+        if (++refusals == 1)
+            return ownAnswer(request, "503 Service Unavailable", "", "X-Not-Executed: 1\r\n");
+        return streamHead(request, "s") + chunk(event(1)) + "0\r\n\r\n";
+    });
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", server.address()) });
+    CHECK(statusOf(router.send(requestText("POST", "/ask/1", "r1", "question"))) == 503);
+    auto began = std::chrono::steady_clock::now();
+    CHECK(statusOf(router.send(requestText("POST", "/ask/2", "r2", "question"))) == 200);
+    // A full endpoint is believed to stay full for 3 s.
+    CHECK(std::chrono::steady_clock::now() - began < 3s);
+}
