Cut the model anew over a data centre whose gap cannot be closed, and bound the heads of a stream

Neighbours have memory for three layers each, less than a lost engine's seven. Ruled out: single moves of engines, since no engine was redundant.

Change: a data centre that misses layers is cut anew over its engines, in the order of their present ranges, so that each moves by a few layers; one data centre at a time. Only a head that is lost itself is left out now (test with three heads and lost tails).

--- a/include/spindlecore/LayerPlacement.h
+++ b/include/spindlecore/LayerPlacement.h
@@ -30,8 +30,9 @@
 // Returns the orders that bring the engines closer to one whole copy of the model in each data centre whose memory
 // holds one. Engines without layers fill the gaps of their data centre first and then hold the layers that have the
 // fewest copies. Where no such engine is left, the neighbours of a gap extend their ranges, as long as each keeps
-// memory for requests; failing that, an engine whose layers have other copies in the data centre moves into the gap. No
-// order exceeds the memory of an engine, and no order gives up the last copy of a layer in a data centre.
+// memory for requests; failing that, an engine whose layers have other copies in the data centre moves into the gap, or
+// the model is cut anew over the engines of one data centre. No order exceeds the memory of an engine. Only the last way
+// gives up layers without another copy in the data centre, which misses some already.
 std::vector<PlacementOrder> planPlacement(const ModelLayout&, const std::vector<PlacedEngine>&);
 
 // Layers that the memory of a kind holds, with none left for requests; 0 for an unknown kind.
--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -77,40 +77,62 @@
         engine.isOrdered = true;
     }
 
-    // Cuts the model into ranges in proportion to memory, so that every stage has KV memory for about as many tokens.
-    // Does nothing when the memory of the engines holds no whole copy.
-    void placeWholeCopy(const ModelLayout& model, std::vector<Engine*> engines)
+    // Cuts the model into ranges in proportion to memory, in the order of the engines, so that every stage has KV
+    // memory for about as many tokens. Returns one range for each engine, or nothing when their memory holds no whole
+    // copy.
+    std::vector<LayerRange> tile(const ModelLayout& model, const std::vector<Engine*>& engines)
     {
         double memory = 0;
         uint32_t capacity = 0;
         for (const auto* it : engines) {
-            memory += memoryOf(model, *it);
-            capacity += layerCapacity(model, it->known->accelerator);
+            memory += it->extended ? memoryOf(model, *it) : 0;
+            capacity += it->extended;
         }
         if (capacity < model.layers)
-            return;
-        // The fastest engine comes first: as the head of chains it also holds the slots of all their requests.
+            return {};
+        std::vector<LayerRange> ranges;
+        uint32_t first = 0;
+        uint32_t behind = capacity; // What the engines behind the present one can hold.
+        double before = 0;
+        for (const auto* it : engines) {
+            before += it->extended ? memoryOf(model, *it) : 0;
+            behind -= it->extended;
+            auto end = static_cast<uint32_t>(std::lround(model.layers * before / memory));
+            uint32_t least = model.layers > behind ? model.layers - behind : 0;
+            end = std::min({ std::max({ end, least, first }), first + it->extended, model.layers });
+            ranges.push_back({ first, end });
+            first = end;
+        }
+        return ranges;
+    }
+
+    // The first copy of a data centre whose engines are all empty.
+    void placeWholeCopy(const ModelLayout& model, std::vector<Engine*> engines)
+    {
+        // The largest engine comes first: as the head of chains it holds the slots of all their requests.
         std::sort(engines.begin(), engines.end(), [&](const Engine* a, const Engine* b) {
             double memoryA = memoryOf(model, *a);
             double memoryB = memoryOf(model, *b);
             return memoryA != memoryB ? memoryA > memoryB : a->known->endpoint < b->known->endpoint;
         });
-        uint32_t first = 0;
-        double before = 0;
-        for (size_t i = 0; i < engines.size() && first < model.layers; ++i) {
-            auto& engine = *engines[i];
-            before += memoryOf(model, engine);
-            auto end = static_cast<uint32_t>(std::lround(model.layers * before / memory));
-            // What the engines behind can hold bounds how little this one may take.
-            uint32_t behind = 0;
-            for (size_t k = i + 1; k < engines.size(); ++k)
-                behind += layerCapacity(model, engines[k]->known->accelerator);
-            uint32_t least = model.layers > behind ? model.layers - behind : 0;
-            uint32_t most = first + layerCapacity(model, engine.known->accelerator);
-            end = std::min({ std::max(end, least), most, model.layers });
-            if (end > first)
-                order(engine, { first, end });
-            first = std::max(first, end);
+        auto ranges = tile(model, engines);
+        for (size_t i = 0; i < ranges.size(); ++i) {
+            if (ranges[i].count())
+                order(*engines[i], ranges[i]);
+        }
+    }
+
+    // Cuts the model anew over the engines of a data centre that misses layers. In the order of their present ranges,
+    // each engine moves by a few layers only.
+    void placeAnew(const ModelLayout& model, std::vector<Engine*> engines)
+    {
+        std::stable_sort(engines.begin(), engines.end(), [](const Engine* a, const Engine* b) {
+            return a->layers.first + a->layers.end < b->layers.first + b->layers.end;
+        });
+        auto ranges = tile(model, engines);
+        for (size_t i = 0; i < ranges.size(); ++i) {
+            if (ranges[i].count() && ranges[i] != engines[i]->layers)
+                order(*engines[i], ranges[i]);
         }
     }
 
@@ -263,6 +285,40 @@
         }
     }
 
+    std::vector<Engine*> stayingOf(const std::vector<Engine*>& engines)
+    {
+        std::vector<Engine*> staying;
+        std::copy_if(engines.begin(), engines.end(), std::back_inserter(staying),
+            [](const Engine* it) { return !it->known->isLeaving; });
+        return staying;
+    }
+
+    // Places one data centre anew that misses layers. While its engines load, its requests use the others, so that only
+    // one is placed at a time, and only while another is whole or none is.
+    void placeOneAnew(const ModelLayout& model, const std::map<DataCentreId, std::vector<Engine*>>& groups)
+    {
+        std::vector<std::vector<Engine*>> broken;
+        bool hasWhole = false;
+        bool hasBusy = false;
+        for (const auto& [dataCentre, local] : groups) {
+            bool isBusy = std::any_of(
+                local.begin(), local.end(), [](const Engine* it) { return it->known->isBusy || it->isOrdered; });
+            bool isWhole = gapsOf(countCopies(model, local)).empty();
+            hasBusy = hasBusy || (isBusy && !isWhole);
+            hasWhole = hasWhole || (isWhole && !isBusy);
+            if (!isWhole && !isBusy)
+                broken.push_back(stayingOf(local));
+        }
+        if (!hasWhole && hasBusy)
+            return;
+        for (auto& engines : broken) {
+            if (tile(model, engines).empty())
+                continue;
+            placeAnew(model, engines);
+            return;
+        }
+    }
+
     std::vector<Engine> enginesOf(const ModelLayout& model, const std::vector<PlacedEngine>& known)
     {
         std::vector<Engine> engines;
@@ -294,10 +350,9 @@
     std::vector<Engine*> all;
     for (auto& it : engines)
         all.push_back(&it);
-    for (auto& [dataCentre, local] : byDataCentre(engines)) {
-        std::vector<Engine*> staying;
-        std::copy_if(local.begin(), local.end(), std::back_inserter(staying),
-            [](const Engine* it) { return !it->known->isLeaving; });
+    auto groups = byDataCentre(engines);
+    for (auto& [dataCentre, local] : groups) {
+        auto staying = stayingOf(local);
         bool isNew = std::none_of(
             staying.begin(), staying.end(), [](const Engine* it) { return it->layers.count() || it->known->isBusy; });
         if (isNew)
@@ -305,6 +360,7 @@
         fillEmpty(model, local, all);
         closeGaps(model, local, all);
     }
+    placeOneAnew(model, groups);
     std::vector<PlacementOrder> orders;
     for (const auto& it : engines) {
         if (it.isOrdered)
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -309,10 +309,10 @@
     m_connection = nullptr;
     if (result.end == AttemptEnd::NotExecuted)
         m_mayHaveRun = hadRun;
-    if (result.kind == FailureKind::Stalled) {
-        ++m_lostSends;
+    // A head that is lost itself does not count as an endpoint that ran the request; one whose chain is broken does.
+    bool isHeadLost = result.kind == FailureKind::Stalled && result.atFault == first;
+    if (isHeadLost)
         m_sentTo.erase(first);
-    }
     bool isReusable = result.end != AttemptEnd::CallerGone && parser && parser->is_done() && parser->keep_alive()
         && !isForeign && !connection->buffer.size() && !m_isCallerGone && !m_movedFrom;
     if (isReusable)
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -129,8 +129,7 @@
     Instant m_progressAt {}; // Last bytes of the running attempt, or when it was sent.
 
     uint32_t m_sends = 0; // Attempts that were sent.
-    uint32_t m_lostSends = 0; // Of those, attempts that an endpoint's silence ended.
-    std::set<EndpointId> m_sentTo; // Endpoints to which the request was sent and that did not go silent.
+    std::set<EndpointId> m_sentTo; // Endpoints to which the request was sent and that are not lost.
     bool m_mayHaveRun = false; // Some endpoint may have run the request.
     bool m_hasBegun = false; // The caller has received a part of the answer.
     EventSplitter m_events;
--- a/test/core/LayerPlacementTest.cpp
+++ b/test/core/LayerPlacementTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <map>
 #include <random>
 #include <spindlecore/LayerPlacement.h>
 
@@ -193,6 +194,51 @@
     CHECK(orders[0].layers.end == 63);
 }
 
+// A quarter of the engines left within seconds; afterwards no data centre had a whole copy, and a data centre that was
+// then cut off could serve nothing.
+TEST_CASE("after the loss of a quarter of the engines each data centre holds a whole copy again")
+{
+    std::mt19937 random(3);
+    for (int round = 0; round < 50; ++round) {
+        CAPTURE(round);
+        auto engines = placedAuthority();
+        for (int i = 0; i < 9; ++i)
+            engines.erase(engines.begin() + static_cast<int>(random() % engines.size()));
+        for (int i = 0; i < 4; ++i)
+            carryOut(engines, planPlacement(usersModel(), engines));
+        checkMemory(engines);
+        for (const auto* dataCentre : { "gulberg", "mall", "johar" }) {
+            CAPTURE(dataCentre);
+            double memory = 0;
+            for (const auto& it : engines) {
+                if (it.dataCentre == DataCentreId(dataCentre))
+                    memory += usersModel().kinds.at(it.accelerator).memoryMb;
+            }
+            // With less, too little is left for the requests of a data centre.
+            if (memory >= 1.3 * 80 * 1750)
+                CHECK(missingLayers(engines, dataCentre) == 0);
+        }
+    }
+}
+
+TEST_CASE("only one data centre is placed anew at a time")
+{
+    auto engines = placedAuthority();
+    int lost = 0;
+    std::erase_if(
+        engines, [&](const auto& it) { return it.accelerator == "l4" && it.layers.first > 20 && ++lost % 2; });
+    auto orders = planPlacement(usersModel(), engines);
+    std::map<DataCentreId, int> shrunk;
+    for (const auto& order : orders) {
+        for (const auto& it : engines) {
+            bool keeps = order.layers.first <= it.layers.first && order.layers.end >= it.layers.end;
+            if (it.endpoint == order.endpoint && !keeps)
+                ++shrunk[it.dataCentre];
+        }
+    }
+    CHECK(shrunk.size() <= 1);
+}
+
 TEST_CASE("busy engines, unknown kinds and leaving engines receive no orders")
 {
     auto engines = placedAuthority();
@@ -233,8 +279,12 @@
             checkMemory(engines);
             for (const auto* dataCentre : { "gulberg", "mall", "johar" })
                 CHECK(missingLayers(engines, dataCentre) <= missingLayers(before, dataCentre));
-            // The next plan asks for nothing new: planners that follow each other do not undo one another's work.
+            // Planners that follow each other do not undo one another's work: after one cut anew for each data centre,
+            // nothing is left to be ordered.
+            for (int i = 0; i < 3; ++i)
+                carryOut(engines, planPlacement(usersModel(), engines));
             CHECK(planPlacement(usersModel(), engines).empty());
+            checkMemory(engines);
         }
     }
 }
--- a/test/router/ExchangeTest.cpp
+++ b/test/router/ExchangeTest.cpp
@@ -203,6 +203,39 @@
     CHECK(answer.ends_with("0\r\n\r\n"));
 }
 
+// The heads of broken chains have run the request; another head for each broken chain would pass the route's bound.
+TEST_CASE("a stream whose chains break again and again runs at no more heads than its route allows")
+{
+    auto stalls = [](const std::string& request) {
+        auto last = headerOf(request, "Last-Event-ID");
+        return streamHead(request, "s") + chunk(event(last.empty() ? 1 : std::stoi(last) + 1));
+    };
+    ScriptedServer heads[] = { ScriptedServer(stalls, AfterAnswer::Hold), ScriptedServer(stalls, AfterAnswer::Hold),
+        ScriptedServer(stalls, AfterAnswer::Hold) };
+    std::vector<router::EndpointSighting> endpoints;
+    for (int i = 0; i < 4; ++i) {
+        auto tail = endpointAt("tail" + std::to_string(i), "assistant", "127.0.0.2:" + std::to_string(1000 + i));
+        tail.layers = { 4, 8 };
+        endpoints.push_back(tail);
+    }
+    RouterFixture router;
+    for (auto& head : heads) {
+        auto endpoint = endpointAt("head" + head.address(), "assistant", head.address());
+        endpoint.layers = { 0, 4 };
+        endpoints.push_back(endpoint);
+        router::EngineReport report;
+        for (int i = 0; i < 4; ++i)
+            report.stalled.push_back({ RequestId("r1"), "127.0.0.2:" + std::to_string(1000 + i) });
+        router.platform().reports[head.address()] = report;
+    }
+    router.start(endpoints);
+    auto answer = router.send(requestText("POST", "/ask/1", "r1", "question"));
+    CHECK(statusOf(answer) == 200);
+    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    auto used = std::count_if(std::begin(heads), std::end(heads), [](const auto& it) { return it.connections() > 0; });
+    CHECK(used <= 2);
+}
+
 TEST_CASE("the endpoint's work is cancelled when the caller leaves")
 {
     ScriptedServer server(
