--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -270,6 +270,7 @@
     {
         for (const auto& gap : gapsOf(countCopies(model, local))) {
             std::vector<Engine> before;
+            before.reserve(local.size());
             for (const auto* it : local)
                 before.push_back(*it);
             if (closeGap(local, gap))
@@ -322,6 +323,7 @@
     std::vector<Engine> enginesOf(const ModelLayout& model, const std::vector<PlacedEngine>& known)
     {
         std::vector<Engine> engines;
+        engines.reserve(known.size());
         for (const auto& it : known) {
             engines.push_back({ &it, it.layers, capacityWithin(model, it.accelerator, weightShare),
                 extendedCapacity(model, it.accelerator) });
@@ -348,6 +350,7 @@
 {
     auto engines = enginesOf(model, known);
     std::vector<Engine*> all;
+    all.reserve(engines.size());
     for (auto& it : engines)
         all.push_back(&it);
     auto groups = byDataCentre(engines);
--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -16,7 +16,7 @@
     // the margin covers the time between the check and the start of the work at the endpoint.
     constexpr milliseconds revocationMargin { 500 };
     // Older configurations do not prove that a route or key does not exist: it may have been added since.
-    constexpr milliseconds absenceProof { 1900 };
+    constexpr milliseconds absenceProof { 1950 };
     // For refusals because of a configuration that is too old; another daemon may know a newer one.
     constexpr milliseconds staleRetryAfter { 100 };
     constexpr milliseconds defaultDeadline { 30000 };
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -8,9 +8,9 @@
 
     using std::chrono::milliseconds;
 
-    // A leaving endpoint receives nothing later than 2 s after it said so; a read, its answer and the requests that are
-    // under way fit twice into that time.
-    constexpr milliseconds listInterval { 800 };
+    // A leaving endpoint receives nothing later than 2 s after it said so. The rest of that time is for the read, its
+    // answer and the requests that are under way.
+    constexpr milliseconds listInterval { 1200 };
     // While there are no endpoints yet, so that the layout is made well before the first caller.
     constexpr milliseconds firstListInterval { 250 };
     constexpr milliseconds retryInterval { 250 };
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -98,7 +98,9 @@
     m_context.metrics.observe(daemon::Distribution::RequestTime, took);
     note("request-ended",
         { { "code", static_cast<int>(code) }, { "result", resultName(code) }, { "status", status },
-            { "took_ms", millisecondsOf(took) }, { "sends", m_sends }, { "events", m_events.delivered() } });
+            { "took_ms", millisecondsOf(took) }, { "sends", m_sends }, { "events", m_events.delivered() },
+            { "first_event_ms", m_firstEventAt ? millisecondsOf(*m_firstEventAt - m_request.arrivedAt) : -1 },
+            { "longest_gap_ms", millisecondsOf(m_longestGap) } });
 }
 
 net::awaitable<std::optional<CoreDecision>> Exchange::nextDecision()
@@ -427,12 +429,23 @@
     return { AttemptEnd::Complete, {}, FailureKind::BadToken, "" };
 }
 
+void Exchange::noteEvent(Instant now)
+{
+    if (m_firstEventAt) {
+        m_longestGap = std::max(m_longestGap, now - m_eventAt);
+        m_context.metrics.observe(daemon::Distribution::TokenGap, now - m_eventAt);
+    } else {
+        m_firstEventAt = now;
+        m_context.metrics.observe(daemon::Distribution::FirstToken, now - m_request.arrivedAt);
+    }
+    m_eventAt = now;
+}
+
 net::awaitable<bool> Exchange::sendEvents(
     const http::response_header<>& header, const std::string& events, uint32_t attempt)
 {
     if (!m_hasBegun) {
         m_hasBegun = true;
-        m_context.metrics.observe(daemon::Distribution::FirstToken, m_context.clock.now() - m_request.arrivedAt);
         m_context.postInput(FirstToken { m_request.id, attempt });
         auto forwarded = forwardResponseHeader(header);
         bool isReached = co_await m_sink.beginParts(std::move(forwarded));
@@ -472,6 +485,7 @@
             co_return broken("event too long");
         if (events.empty())
             continue;
+        noteEvent(m_progressAt);
         bool isReached = co_await sendEvents(header, events, attempt);
         if (!isReached) {
             m_isCallerGone = true;
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -107,6 +107,7 @@
     EndpointId faultOf(const http::response_header<>&) const;
     net::awaitable<bool> sendEvents(const http::response_header<>&, const std::string& events, uint32_t attempt);
 
+    void noteEvent(Instant now);
     bool mayRepeat(const AttemptResult&) const;
     bool mayRunAgain() const;
     bool maySendTo(const EndpointId&) const;
@@ -127,6 +128,9 @@
     EndpointSighting m_head;
     std::optional<EndpointId> m_movedFrom; // Set when the running attempt was ended by moveAway().
     Instant m_progressAt {}; // Last bytes of the running attempt, or when it was sent.
+    std::optional<Instant> m_firstEventAt;
+    Instant m_eventAt {}; // When the last event was passed on; valid after the first one.
+    Duration m_longestGap {}; // Between two events that the caller received.
 
     uint32_t m_sends = 0; // Attempts that were sent.
     std::set<EndpointId> m_sentTo; // Endpoints to which the request was sent and that are not lost.
