--- a/src/daemon/Metrics.cpp
+++ b/src/daemon/Metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/Metrics.h"
 
+#include <algorithm>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics.hpp>
 #include <cstddef>
@@ -54,6 +55,9 @@
     } };
 
     constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
+    // Upper bounds of the histograms' buckets in seconds: from a decision's time to a stream's.
+    constexpr std::array<double, 13> bucketBounds { 0.0001, 0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5,
+        20 };
     const std::string prefix = "jacinthspindle_";
 
     void writeHead(std::ostream& out, const std::string& name, const std::string& help, const char* type)
@@ -75,6 +79,9 @@
     {
         std::lock_guard lock(m_mutex);
         m_values(value);
+        auto bucket = std::lower_bound(bucketBounds.begin(), bucketBounds.end(), value) - bucketBounds.begin();
+        if (bucket < static_cast<std::ptrdiff_t>(m_buckets.size()))
+            ++m_buckets[static_cast<size_t>(bucket)];
     }
 
     void write(std::ostream& out, const NameText& text) const
@@ -89,6 +96,7 @@
         }
         out << prefix << text.name << "_sum " << (n ? stats::sum(m_values) : 0) << '\n';
         out << prefix << text.name << "_count " << n << '\n';
+        writeHistogram(out, text, n);
         writeHead(out, std::string(text.name) + "_max", std::string(text.help) + ", largest", "gauge");
         out << prefix << text.name << "_max " << (n ? stats::max(m_values) : 0) << '\n';
     }
@@ -96,8 +104,24 @@
 private:
     using Values = stats::accumulator_set<double,
         stats::stats<stats::tag::count, stats::tag::sum, stats::tag::max, stats::tag::extended_p_square>>;
+    // A quantile of one process cannot be combined with those of others; buckets can.
+    void writeHistogram(std::ostream& out, const NameText& text, size_t n) const
+    {
+        auto name = std::string(text.name) + "_histogram";
+        writeHead(out, name, text.help, "histogram");
+        uint64_t sum = 0;
+        for (size_t i = 0; i < bucketBounds.size(); ++i) {
+            sum += m_buckets[i];
+            out << prefix << name << "_bucket{le=\"" << bucketBounds[i] << "\"} " << sum << '\n';
+        }
+        out << prefix << name << "_bucket{le=\"+Inf\"} " << n << '\n';
+        out << prefix << name << "_sum " << (n ? stats::sum(m_values) : 0) << '\n';
+        out << prefix << name << "_count " << n << '\n';
+    }
+
     mutable std::mutex m_mutex;
     Values m_values;
+    std::array<uint64_t, bucketBounds.size()> m_buckets {}; // Values above the last bound are in none.
 };
 
 Metrics::Metrics()
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -81,9 +81,9 @@
     apply(EndpointStateSeen { failed.endpoint, EndpointStateSource::Health, EndpointLife::Down });
 }
 
-void Control::reportSilent(EndpointId id)
+void Control::reportSilent(const EndpointId& id)
 {
-    net::post(m_io, [this, id = std::move(id)] {
+    net::post(m_io, [this, id] {
         m_directory.markSilent(id);
         apply(EndpointStateSeen { id, EndpointStateSource::Engine, EndpointLife::Down });
     });
@@ -107,7 +107,11 @@
     if (isUp == isUpNow)
         return;
     isUp = isUpNow;
-    m_journal.write(isUpNow ? LineKind::Info : LineKind::Warning, isUpNow ? "dependency-regained" : "dependency-lost",
+    if (isUpNow) {
+        m_journal.write(LineKind::Info, "dependency-regained", { { "dependency", name } });
+        return;
+    }
+    m_journal.write(LineKind::Warning, "dependency-lost",
         { { "dependency", name }, { "code", static_cast<int>(reason.code) }, { "reason", reason.text } });
 }
 
@@ -132,12 +136,12 @@
     }
 }
 
-void Control::adopt(std::shared_ptr<const RoutingConfiguration> configuration)
+void Control::adopt(const std::shared_ptr<const RoutingConfiguration>& configuration)
 {
     // Versions never go back within the life of a process.
     if (!configuration || (m_configuration && configuration->version <= m_configuration->version))
         return;
-    m_configuration = std::move(configuration);
+    m_configuration = configuration;
     m_routes = std::make_shared<const RouteIndex>(*m_configuration);
     m_planner.adopt(m_configuration);
     m_metrics.add(daemon::Counter::TablesAdopted);
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -30,7 +30,7 @@
 
     // Thread-safe.
     void postInput(CoreInput);
-    void reportSilent(EndpointId);
+    void reportSilent(const EndpointId&);
 
 private:
     net::awaitable<void> followConfiguration();
@@ -38,7 +38,7 @@
     net::awaitable<void> tick();
     void apply(const CoreInput&);
     void pauseAfter(const AttemptFailed&);
-    void adopt(std::shared_ptr<const RoutingConfiguration>);
+    void adopt(const std::shared_ptr<const RoutingConfiguration>&);
     void publish();
     void noteDependency(bool& isUp, bool isUpNow, const char* name, const Reason&);
 
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -394,7 +394,7 @@
     bool isWhole = co_await readBody(connection, parser, body);
     if (!isWhole)
         co_return broken("answer broke off");
-    co_return classify(parser.get().base(), std::move(body));
+    co_return classify(parser.get().base(), body);
 }
 
 EndpointId Exchange::faultOf(const http::response_header<>& header) const
@@ -406,7 +406,7 @@
     return endpoint ? endpoint->endpoint : EndpointId();
 }
 
-Exchange::AttemptResult Exchange::classify(const http::response_header<>& header, std::string body)
+Exchange::AttemptResult Exchange::classify(const http::response_header<>& header, const std::string& body)
 {
     const auto& names = m_context.settings.headers;
     auto status = header.result_int();
@@ -420,7 +420,7 @@
         return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "not the endpoint's answer" };
     http::response<http::string_body> answer;
     answer.base() = forwardResponseHeader(header);
-    answer.body() = std::move(body);
+    answer.body() = body;
     answer.content_length(answer.body().size());
     m_answer = std::move(answer);
     bool isFailure = status >= 500 && mayRunAgain() && status != 504;
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -102,7 +102,7 @@
     net::awaitable<bool> readBody(EndpointConnection&, Parser&, std::string& body);
     net::awaitable<AttemptResult> relayStream(EndpointConnection&, Parser&, uint32_t attempt);
     net::awaitable<AttemptResult> takeWhole(EndpointConnection&, Parser&);
-    AttemptResult classify(const http::response_header<>&, std::string body);
+    AttemptResult classify(const http::response_header<>&, const std::string& body);
     AttemptResult broken(const char* detail) const;
     EndpointId faultOf(const http::response_header<>&) const;
     net::awaitable<bool> sendEvents(const http::response_header<>&, const std::string& events, uint32_t attempt);
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -14,7 +14,7 @@
 // What the traffic thread tells the control thread. The functions are thread-safe and do not block.
 struct ControlPort {
     std::function<void(CoreInput)> postInput;
-    std::function<void(EndpointId)> reportSilent; // An engine names this endpoint as not answering.
+    std::function<void(const EndpointId&)> reportSilent; // An engine names this endpoint as not answering.
 };
 
 // Age of the configuration, which the control thread writes and the traffic thread reads.
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -102,7 +102,7 @@
               m_age)
         , m_traffic(m_trafficIo, clock, journal, m_metrics, settings.router,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
-                  [this](EndpointId id) { m_control.reportSilent(std::move(id)); } },
+                  [this](const EndpointId& id) { m_control.reportSilent(id); } },
               m_trafficEngines, m_age)
         , m_ready(m_trafficIo,
               [this] {
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -216,7 +216,7 @@
               { m_configurations, m_endpoints, m_lease, m_engines }, {}, m_age)
         , m_traffic(m_trafficIo, m_clock, m_journal, m_metrics, m_settings,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
-                  [this](EndpointId id) { m_control.reportSilent(std::move(id)); } },
+                  [this](const EndpointId& id) { m_control.reportSilent(id); } },
               m_engines, m_age)
     {
         m_state.configuration = std::make_shared<const RoutingConfiguration>(sampleConfiguration());
