--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -22,8 +22,17 @@
 struct Options {
     std::string settingsFile;
     std::string metricsPort; // Empty: no metrics are served.
+    bool wantsHelp = false;
 };
 
+constexpr const char* usage = R"(Usage: jacinthspindle-routerd [--settings PATH] [--metrics-port PORT]
+
+Routes requests on an entry host of the platform.
+
+  --settings PATH       settings file; otherwise JACINTHSPINDLE_NODE_FILE, then /etc/jacinthspindle/settings.json
+  --metrics-port PORT   port on which metrics are served; otherwise JACINTHSPINDLE_METRICS_PORT, then none
+)";
+
 std::string environmentOr(const char* name, const std::string& fallback)
 {
     // Read before any thread starts.
@@ -31,24 +40,27 @@
     return value ? value : fallback;
 }
 
+// The arguments of TCLAP, which refer to the command line that holds them.
+struct Flags {
+    TCLAP::CmdLine line { "jacinthspindle-routerd", ' ', "0.2.0", false };
+    TCLAP::ValueArg<std::string> settings { "", "settings", "", false,
+        environmentOr("JACINTHSPINDLE_NODE_FILE", "/etc/jacinthspindle/settings.json"), "path", line };
+    TCLAP::ValueArg<std::string> metricsPort { "", "metrics-port", "", false,
+        environmentOr("JACINTHSPINDLE_METRICS_PORT", ""), "port", line };
+    TCLAP::SwitchArg help { "h", "help", "", line };
+};
+
 std::optional<Options> parseOptions(int argc, char** argv)
 {
+    auto flags = std::make_unique<Flags>();
     try {
-        TCLAP::CmdLine line("Routes requests on an entry host of the platform.", ' ', "0.2.0");
-        TCLAP::ValueArg<std::string> settings("", "settings",
-            "Settings file of the platform; JACINTHSPINDLE_NODE_FILE names it otherwise.", false,
-            environmentOr("JACINTHSPINDLE_NODE_FILE", "/etc/jacinthspindle/settings.json"), "path", line);
-        TCLAP::ValueArg<std::string> metrics("", "metrics-port", "Port on which metrics are served at any path.", false,
-            environmentOr("JACINTHSPINDLE_METRICS_PORT", ""), "port", line);
-        line.setExceptionHandling(false);
-        line.parse(argc, argv);
-        return Options { settings.getValue(), metrics.getValue() };
-    } catch (const TCLAP::ExitException& exit) {
-        std::exit(exit.getExitStatus()); // NOLINT(concurrency-mt-unsafe)
+        flags->line.setExceptionHandling(false);
+        flags->line.parse(argc, argv);
     } catch (const TCLAP::ArgException& error) {
-        std::cerr << "jacinthspindle-routerd: " << error.error() << ' ' << error.argId() << '\n';
+        std::cerr << "jacinthspindle-routerd: " << error.error() << ' ' << error.argId() << '\n' << usage;
         return std::nullopt;
     }
+    return Options { flags->settings.getValue(), flags->metricsPort.getValue(), flags->help.getValue() };
 }
 
 std::optional<platform::PlatformSettings> readSettings(const std::string& path, Reason& reason)
@@ -184,6 +196,10 @@
     auto options = parseOptions(argc, argv);
     if (!options)
         return exitStatus(ResultCode::UsageInvalid);
+    if (options->wantsHelp) {
+        std::cout << usage;
+        return 0;
+    }
     router::BootClock clock;
     Reason reason;
     auto settings = readSettings(options->settingsFile, reason);
--- a/test/core/EventSplitterTest.cpp
+++ b/test/core/EventSplitterTest.cpp
@@ -16,8 +16,8 @@
 
 TEST_CASE("events are passed on unchanged and whole for every border between two reads")
 {
-    for (const std::string& end : { std::string("\n\n"), std::string("\r\n\r\n"), std::string("\n\r\n") }) {
-        auto stream = "id: 1\ndata: a" + end + "id: 2\ndata: b" + end;
+    for (const std::string stream : { "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+             "id: 1\ndata: a\r\n\r\nid: 2\ndata: b\r\n\r\n", "id: 1\ndata: a\n\r\nid: 2\ndata: b\n\r\n" }) {
         for (size_t border = 0; border <= stream.size(); ++border) {
             CAPTURE(border);
             EventSplitter events;
--- a/test/core/LayerPlacementTest.cpp
+++ b/test/core/LayerPlacementTest.cpp
@@ -26,9 +26,9 @@
 
 void add(std::vector<PlacedEngine>& engines, const std::string& dataCentre, const std::string& kind, int n)
 {
+    const auto prefix = dataCentre + '-' + kind + '-';
     for (int i = 0; i < n; ++i) {
-        auto id = dataCentre + '-' + kind + '-' + std::to_string(i);
-        engines.push_back({ EndpointId(id), DataCentreId(dataCentre), kind, {}, false, false });
+        engines.push_back({ EndpointId(prefix + std::to_string(i)), DataCentreId(dataCentre), kind, {}, false, false });
     }
 }
 
--- a/test/router/ClientSessionTest.cpp
+++ b/test/router/ClientSessionTest.cpp
@@ -84,12 +84,13 @@
     router.start({ endpointAt("c1", "catalogue", server.address()) });
     const std::string head = "POST /loans/1 HTTP/1.1\r\nX-Request-Id: r1\r\nAuthorization: Bearer key-1\r\n";
     const std::string host = "Host: desk.example\r\n";
+    const std::string twoHosts = "Host: desk.example\r\nHost: desk.example\r\nContent-Length: 0\r\n\r\n";
     for (const auto& text : {
              head + host + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
              head + host + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nflags!",
              head + host + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
              head + host + "Transfer-Encoding: identity\r\nContent-Length: 0\r\n\r\n",
-             head + host + host + "Content-Length: 0\r\n\r\n",
+             head + twoHosts,
              head + "Content-Length: 0\r\n\r\n",
              head + host + "Bad Header: x\r\nContent-Length: 0\r\n\r\n",
              head + host + "Content-Length: -1\r\n\r\n",
