Cut a data centre anew only for a gap that lasts

Change: a data centre is cut anew only once a gap is six seconds old; a busy engine is asked again after two seconds.

--- a/include/spindlecore/LayerPlacement.h
+++ b/include/spindlecore/LayerPlacement.h
@@ -27,6 +27,10 @@
     bool operator==(const PlacementOrder&) const = default;
 };
 
+// Whether a data centre may be cut anew. Engines that give up layers first finish the requests that pass through them,
+// which takes seconds, so that it is no answer to a loss that is soon made good.
+enum class CutAnew : uint8_t { Allowed, Forbidden };
+
 // Returns the orders that bring the engines closer to one whole copy of the model in each data centre whose memory
 // holds one. Engines without layers fill the gaps of their data centre first and then hold the layers that have the
 // fewest copies. Where no such engine is left, the neighbours of a gap extend their ranges, as long as each keeps
@@ -34,7 +38,11 @@
 // the model is cut anew over the engines of one data centre. Once a data centre is whole, engines that extended their
 // ranges give back layers that have other copies. No order exceeds the memory of an engine. Only the last way
 // gives up layers without another copy in the data centre, which misses some already.
-std::vector<PlacementOrder> planPlacement(const ModelLayout&, const std::vector<PlacedEngine>&);
+std::vector<PlacementOrder> planPlacement(
+    const ModelLayout&, const std::vector<PlacedEngine>&, CutAnew = CutAnew::Allowed);
+
+// True when some data centre with engines misses a layer, counting layers that are being loaded.
+bool hasGap(const ModelLayout&, const std::vector<PlacedEngine>&);
 
 // Layers that the memory of a kind holds, with none left for requests; 0 for an unknown kind.
 uint32_t layerCapacity(const ModelLayout&, const std::string& accelerator);
--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -388,7 +388,8 @@
     return capacityWithin(model, accelerator, 1);
 }
 
-std::vector<PlacementOrder> planPlacement(const ModelLayout& model, const std::vector<PlacedEngine>& known)
+std::vector<PlacementOrder> planPlacement(
+    const ModelLayout& model, const std::vector<PlacedEngine>& known, CutAnew cutAnew)
 {
     auto engines = enginesOf(model, known);
     std::vector<Engine*> all;
@@ -406,7 +407,8 @@
         closeGaps(model, local, all);
         trimCrowded(model, local);
     }
-    placeOneAnew(model, groups);
+    if (cutAnew == CutAnew::Allowed)
+        placeOneAnew(model, groups);
     std::vector<PlacementOrder> orders;
     for (const auto& it : engines) {
         if (it.isOrdered)
@@ -415,6 +417,14 @@
     return orders;
 }
 
+bool hasGap(const ModelLayout& model, const std::vector<PlacedEngine>& known)
+{
+    auto engines = enginesOf(model, known);
+    auto groups = byDataCentre(engines);
+    return std::any_of(
+        groups.begin(), groups.end(), [&](const auto& it) { return !gapsOf(countCopies(model, it.second)).empty(); });
+}
+
 double placementTokens(const ModelLayout& model, const std::vector<PlacedEngine>& known)
 {
     auto engines = enginesOf(model, known);
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -21,6 +21,10 @@
     constexpr milliseconds unknownOrderTime { 5000 };
     // Orders that failed are planned again after this time.
     constexpr milliseconds failedOrderPause { 800 };
+    // An engine that is busy finishes requests, which takes seconds.
+    constexpr milliseconds busyPause { 2000 };
+    // A gap that is as old as this stays: engines that crash are mostly back within five seconds.
+    constexpr milliseconds cutAnewAfter { 6000 };
 
 } // namespace
 
@@ -132,12 +136,17 @@
 {
     auto now = m_clock.now();
     auto engines = enginesOf(service, now);
-    auto orders = planPlacement(model, engines);
+    if (!hasGap(model, engines))
+        m_gapSince.erase(service);
+    else
+        m_gapSince.try_emplace(service, now);
+    bool isLasting = m_gapSince.contains(service) && now - m_gapSince[service] >= cutAnewAfter;
+    auto orders = planPlacement(model, engines, isLasting ? CutAnew::Allowed : CutAnew::Forbidden);
     if (orders.empty())
         co_return;
     m_journal.write(LineKind::Info, "placement-planned",
         { { "service", service }, { "engines", engines.size() }, { "orders", orders.size() },
-            { "list_age_ms", millisecondsOf(now - m_directory.updatedAt()) },
+            { "list_age_ms", millisecondsOf(now - m_directory.updatedAt()) }, { "may_cut_anew", isLasting },
             { "tokens_before", placementTokens(model, engines) } });
     for (const auto& order : orders) {
         const auto* endpoint = m_directory.find(order.endpoint);
@@ -163,7 +172,7 @@
         co_return note("no report", failedOrderPause);
     // An order is in progress, or one was carried out that the list does not show yet.
     if (report->isBusy || report->layers != endpoint.layers)
-        co_return note("has other work", failedOrderPause);
+        co_return note("has other work", busyPause);
     if (!m_lease.isHolder(now))
         co_return note("lease lost", failedOrderPause);
     auto outcome = co_await m_control.place(endpoint.address, layers, report->acceptedOrders, callTimeout);
--- a/test/core/LayerPlacementTest.cpp
+++ b/test/core/LayerPlacementTest.cpp
@@ -248,6 +248,23 @@
     }
 }
 
+// An engine that crashed is back within seconds, while engines that give up layers first finish their requests: a cut
+// anew would take the data centre out for longer than the loss itself.
+TEST_CASE("while cutting anew is forbidden no engine gives up layers for a gap that its neighbours cannot close")
+{
+    auto engines = placedAuthority();
+    remove(engines, "johar-h100-0");
+    CHECK(hasGap(usersModel(), engines));
+    for (const auto& order : planPlacement(usersModel(), engines, CutAnew::Forbidden)) {
+        for (const auto& it : engines) {
+            bool keeps = order.layers.first <= it.layers.first && order.layers.end >= it.layers.end;
+            CHECK((it.endpoint != order.endpoint || keeps));
+        }
+    }
+    carryOut(engines, planPlacement(usersModel(), engines));
+    CHECK_FALSE(hasGap(usersModel(), engines));
+}
+
 TEST_CASE("only one data centre is placed anew at a time")
 {
     auto engines = placedAuthority();
