--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -373,17 +373,24 @@
     co_return false;
 }
 
+net::awaitable<std::optional<std::string_view>> Exchange::readSome(EndpointConnection& connection, Parser& parser)
+{
+    parser.get().body().data = m_chunk.data();
+    parser.get().body().size = m_chunk.size();
+    ErrorCode ec;
+    co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(ec));
+    if (ec && ec != http::error::need_buffer)
+        co_return std::nullopt;
+    co_return std::string_view(m_chunk.data(), m_chunk.size() - parser.get().body().size);
+}
+
 net::awaitable<bool> Exchange::readBody(EndpointConnection& connection, Parser& parser, std::string& body)
 {
-    std::array<char, 4096> chunk;
     while (!parser.is_done()) {
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
-        ErrorCode ec;
-        co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(ec));
-        if (ec && ec != http::error::need_buffer)
+        auto bytes = co_await readSome(connection, parser);
+        if (!bytes)
             co_return false;
-        body.append(chunk.data(), chunk.size() - parser.get().body().size);
+        body.append(*bytes);
     }
     co_return true;
 }
@@ -467,21 +474,16 @@
     if (!header.count(names.signature) || header.count(http::field::content_encoding))
         co_return AttemptResult { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken,
             "not the endpoint's answer" };
-    std::array<char, 4096> chunk;
     std::string events;
     while (!parser.is_done()) {
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
-        ErrorCode ec;
-        co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(ec));
-        if (ec && ec != http::error::need_buffer)
+        auto bytes = co_await readSome(connection, parser);
+        if (!bytes)
             co_return broken("stream broke off");
-        size_t n = chunk.size() - parser.get().body().size;
-        if (!n)
+        if (bytes->empty())
             continue;
         m_progressAt = m_context.clock.now();
         events.clear();
-        if (!m_events.take({ chunk.data(), n }, events))
+        if (!m_events.take(*bytes, events))
             co_return broken("event too long");
         if (events.empty())
             continue;
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -8,6 +8,7 @@
 
 #include "daemon/Metrics.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <set>
@@ -99,6 +100,8 @@
     net::awaitable<std::unique_ptr<EndpointConnection>> acquire(const EndpointSighting&);
     net::awaitable<bool> writeRequest(EndpointConnection&, std::string chain);
     net::awaitable<bool> readOwnHeader(EndpointConnection&, std::unique_ptr<Parser>&, bool& isForeign);
+    // Returns the next bytes of the body, none when only framing was read; nothing when the answer broke off.
+    net::awaitable<std::optional<std::string_view>> readSome(EndpointConnection&, Parser&);
     net::awaitable<bool> readBody(EndpointConnection&, Parser&, std::string& body);
     net::awaitable<AttemptResult> relayStream(EndpointConnection&, Parser&, uint32_t attempt);
     net::awaitable<AttemptResult> takeWhole(EndpointConnection&, Parser&);
@@ -136,6 +139,7 @@
     std::set<EndpointId> m_sentTo; // Endpoints to which the request was sent and that are not lost.
     bool m_mayHaveRun = false; // Some endpoint may have run the request.
     bool m_hasBegun = false; // The caller has received a part of the answer.
+    std::array<char, 4096> m_chunk; // Bytes that readSome() returned last.
     EventSplitter m_events;
     std::optional<http::response<http::string_body>> m_answer; // An endpoint's own whole answer.
 };
--- a/src/router/Net.cpp
+++ b/src/router/Net.cpp
@@ -22,6 +22,28 @@
     return tcp::endpoint(ip, port);
 }
 
+std::string hostOfAddress(const std::string& address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+std::optional<Reason> listenOn(tcp::acceptor& acceptor, const std::string& address)
+{
+    auto endpoint = parseAddress(address);
+    ErrorCode ec = endpoint ? ErrorCode() : ErrorCode(net::error::invalid_argument);
+    if (!ec)
+        acceptor.open(endpoint->protocol(), ec);
+    if (!ec)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(*endpoint, ec);
+    if (!ec)
+        acceptor.listen(net::socket_base::max_listen_connections, ec);
+    if (ec)
+        return Reason { ResultCode::SettingsInvalid, address + ": " + ec.message() };
+    return std::nullopt;
+}
+
 void tuneSocket(tcp::socket& socket)
 {
     ErrorCode ignored;
--- a/src/router/Net.h
+++ b/src/router/Net.h
@@ -8,6 +8,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <spindlecore/ResultCode.h>
+
 #include <chrono>
 #include <optional>
 #include <string>
@@ -33,6 +35,12 @@
 // Parses "IP:port". Names are not resolved.
 std::optional<tcp::endpoint> parseAddress(std::string_view text);
 
+// The part of "IP:port" before the port.
+std::string hostOfAddress(const std::string& address);
+
+// Opens the acceptor on "IP:port"; returns why it cannot be opened.
+std::optional<Reason> listenOn(tcp::acceptor&, const std::string& address);
+
 // A connection without acknowledgement of sent bytes for this long counts as broken. A cut link is otherwise noticed
 // only by the system's own retransmission limit of many minutes.
 constexpr std::chrono::milliseconds sendTimeout { 4000 };
--- a/src/router/TextServer.cpp
+++ b/src/router/TextServer.cpp
@@ -20,18 +20,8 @@
 
 std::optional<Reason> TextServer::open(const std::string& address)
 {
-    auto endpoint = parseAddress(address);
-    ErrorCode ec = endpoint ? ErrorCode() : ErrorCode(net::error::invalid_argument);
-    if (!ec)
-        m_acceptor.open(endpoint->protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(*endpoint, ec);
-    if (!ec)
-        m_acceptor.listen(net::socket_base::max_listen_connections, ec);
-    if (ec)
-        return Reason { ResultCode::SettingsInvalid, address + ": " + ec.message() };
+    if (auto reason = listenOn(m_acceptor, address))
+        return reason;
     net::co_spawn(m_io, accept(), net::detached);
     return std::nullopt;
 }
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -43,18 +43,8 @@
 
 std::optional<Reason> Traffic::open()
 {
-    auto endpoint = parseAddress(m_settings.frontAddress);
-    ErrorCode ec = endpoint ? ErrorCode() : ErrorCode(net::error::invalid_argument);
-    if (!ec)
-        m_acceptor.open(endpoint->protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(*endpoint, ec);
-    if (!ec)
-        m_acceptor.listen(net::socket_base::max_listen_connections, ec);
-    if (ec)
-        return Reason { ResultCode::SettingsInvalid, m_settings.frontAddress + ": " + ec.message() };
+    if (auto reason = listenOn(m_acceptor, m_settings.frontAddress))
+        return reason;
     net::co_spawn(m_io, acceptCallers(), net::detached);
     net::co_spawn(m_io, sweep(), net::detached);
     return std::nullopt;
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -75,11 +75,6 @@
     return platform::decodeSettings(text.str(), reason);
 }
 
-std::string hostOf(const std::string& address)
-{
-    return address.substr(0, address.rfind(':'));
-}
-
 PlannerLeaseConfig leaseConfigOf(const router::RouterSettings& settings, const Clock& clock)
 {
     PlannerLeaseConfig config;
@@ -207,7 +202,8 @@
     if (!settings)
         return fail(journal, reason);
     if (!options->metricsPort.empty())
-        settings->router.metricsAddress = hostOf(settings->router.readyAddress) + ':' + options->metricsPort;
+        settings->router.metricsAddress
+            = router::hostOfAddress(settings->router.readyAddress) + ':' + options->metricsPort;
     journal.write(LineKind::Info, "start",
         { { "data_centre", settings->router.dataCentre.value() }, { "front", settings->router.frontAddress },
             { "store", settings->storeAddress } });
--- a/test/router/ClientSessionTest.cpp
+++ b/test/router/ClientSessionTest.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-int statusOf(const std::string& answer)
-{
-    return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
-}
-
 ScriptedServer okServer()
 {
     return ScriptedServer([](const std::string& request) { return ownAnswer(request, "200 OK", "ok"); });
--- a/test/router/ExchangeTest.cpp
+++ b/test/router/ExchangeTest.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-// Status of an answer, 0 when there is none.
-int statusOf(const std::string& answer)
-{
-    return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
-}
-
 std::string event(int id)
 {
     return "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) + "\n\n";
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -187,6 +187,12 @@
         + "\r\n" + body;
 }
 
+// Status of an answer; 0 when there is none.
+inline int statusOf(const std::string& answer)
+{
+    return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
+}
+
 // Value of a header of a request or an answer; empty when it is absent.
 inline std::string headerOf(const std::string& message, const std::string& name)
 {
