Say in a test's answer that the server closes the connection

The scripted server closes after its answer without saying so; on a loaded machine the client's second call reuses the connection before it sees the close, and the request is never read. Ruled out: the encoding of names, and the time-out of 20 s (each failure came at once). Change: the answer carries Connection: close. The checks are the same.

--- a/test/adapters/HttpPlatformTest.cpp
+++ b/test/adapters/HttpPlatformTest.cpp
@@ -133,7 +133,8 @@
 
 TEST_CASE("keys and names are sent in encoded form")
 {
-    ScriptedServer server(httpAnswer("404 None", ""));
+    // The server closes after its answer and says so: the client could otherwise reuse a connection that is closing.
+    ScriptedServer server(httpAnswer("404 None", "", "Connection: close\r\n"));
     HttpTableService(server.address()).read("a b&limit=1#\r\nX: y", generous);
     CHECK(server.lastRequest().starts_with("GET /table/row?key=a%20b%26limit%3D1%23%0D%0AX%3A%20y HTTP/1.1\r\n"));
     HttpObjectStore(server.address()).get("trace/h%2E1/7?x", generous);
