Place several copies of the model per data centre and bound the length of chains

Cause: on the grown site a data centre has 33 engines.

Ruled out: memory and load.

Change: a data centre receives as many copies as fit 60 % of its memory, each on engines of its own and none on more than 32. The chain search charges a price per stage, which rises until the chain has no more than 32 stages.

--- a/include/spindlecore/LayerPlacement.h
+++ b/include/spindlecore/LayerPlacement.h
@@ -31,13 +31,14 @@
 // which takes seconds, so that it is no answer to a loss that is soon made good.
 enum class CutAnew : uint8_t { Allowed, Forbidden };
 
-// Returns the orders that bring the engines closer to one whole copy of the model in each data centre whose memory
-// holds one. Engines without layers fill the gaps of their data centre first and then hold the layers that have the
-// fewest copies. Where no such engine is left, the neighbours of a gap extend their ranges, as long as each keeps
-// memory for requests; failing that, an engine whose layers have other copies in the data centre moves into the gap, or
-// the model is cut anew over the engines of one data centre. Once a data centre is whole, engines that extended their
-// ranges give back layers that have other copies. No order exceeds the memory of an engine. Only the last way
-// gives up layers without another copy in the data centre, which misses some already.
+// Returns the orders that bring the engines closer to whole copies of the model in each data centre whose memory
+// holds one; more than one where memory allows, so that chains stay short. Engines without layers fill the gaps of
+// their data centre first and then hold the layers that have the fewest copies. Where no such engine is left, the
+// neighbours of a gap extend their ranges, as long as each keeps memory for requests; failing that, an engine whose
+// layers have other copies in the data centre moves into the gap, or the model is cut anew over the engines of one data
+// centre. Once a data centre is whole, engines that extended their ranges give back layers that have other copies. No
+// order exceeds the memory of an engine. Only the last way gives up layers without another copy in the data centre,
+// which misses some already.
 std::vector<PlacementOrder> planPlacement(
     const ModelLayout&, const std::vector<PlacedEngine>&, CutAnew = CutAnew::Allowed);
 
--- a/include/spindlecore/Types.h
+++ b/include/spindlecore/Types.h
@@ -59,6 +59,9 @@
     }
 };
 
+// Engines refuse requests whose chain has more stages.
+constexpr size_t maxChainStages = 32;
+
 // One stage of a chain: the endpoint and the exact layers that it runs.
 struct StageHop {
     EndpointId endpoint;
--- a/include/spindlecore/internal/ChainPlanner.h
+++ b/include/spindlecore/internal/ChainPlanner.h
@@ -91,7 +91,8 @@
     void collect(Instant now, const Pool&, const PlanRequest&, std::mt19937_64& random);
     bool addCandidate(Instant now, const StageGroup&, EndpointIndex, const PlanRequest&);
     Plan planService(Instant now, const Pool&, const PlanRequest&);
-    Plan search(const Pool&, const PlanRequest&);
+    // stagePrice: seconds that a chain is charged for each stage after the first.
+    Plan search(const Pool&, const PlanRequest&, double stagePrice);
     std::vector<Run> runsOf(int32_t last) const;
     Plan trace(const Pool&, const PlanRequest&, int32_t last) const;
 
--- a/src/core/ChainPlanner.cpp
+++ b/src/core/ChainPlanner.cpp
@@ -17,6 +17,9 @@
     constexpr double clashWeight = 3;
     // In a chain of unlike speeds the slots of the faster stages are idle while the slower ones compute.
     constexpr double mismatchWeight = 5;
+    // Searches for a chain that engines accept; each one costs as much as the first.
+    constexpr int maxPriceSteps = 6;
+    constexpr double priceGrowth = 4;
     // Bounds the cost of a decision when ranges overlap in many ways.
     constexpr size_t maxCandidates = 32;
 
@@ -116,13 +119,22 @@
     collect(now, pool, request, random);
     if (pool.kind == RouteKind::Service)
         return planService(now, pool, request);
-    return search(pool, request);
+    // A price on each further stage leads to shorter chains; it rises until engines accept the chain.
+    double price = 0;
+    for (int attempt = 0; attempt < maxPriceSteps; ++attempt) {
+        auto plan = search(pool, request, price);
+        if (plan.chain.size() <= maxChainStages)
+            return plan;
+        double cost = plan.firstToken + request.tokens * plan.perToken;
+        price = price > 0 ? price * priceGrowth : cost / static_cast<double>(plan.chain.size());
+    }
+    return {};
 }
 
 // Dynamic programming over the segments between boundaries. For each candidate, the cheapest way to have it run the
 // segment that ends at a boundary is kept; it continues the candidate's own run or takes over from another candidate.
 // The cost is the number of segments times the square of the candidates that hold a segment.
-Plan ChainPlanner::search(const Pool& pool, const PlanRequest& request)
+Plan ChainPlanner::search(const Pool& pool, const PlanRequest& request, double stagePrice)
 {
     m_steps.clear();
     const double none = std::numeric_limits<double>::max();
@@ -144,7 +156,8 @@
                     const auto& earlier = m_candidates[m_steps[step].candidate];
                     double link = m_model.linkTime(m_book[earlier.index], m_book[candidate.index]);
                     double mismatch = mismatchWeight * stageLayers * std::abs(earlier.decode - candidate.decode);
-                    cost += candidate.wait + link * (request.tokens + request.promptTokens) + mismatch * request.tokens;
+                    cost += stagePrice + candidate.wait + link * (request.tokens + request.promptTokens)
+                        + mismatch * request.tokens;
                 }
                 if (cost < before) {
                     before = cost;
--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -17,6 +17,10 @@
     // It keeps KV memory for this many tokens: about half of the streams of a data centre at the users' peak.
     constexpr double leastTokens = 25000;
 
+    // Part of a data centre's memory that whole copies of the model may take. More copies shorten the chains and keep a
+    // data centre whole when an engine is lost; the rest of the memory holds the requests of the users' peak.
+    constexpr double copyShare = 0.6;
+
     struct Engine {
         const PlacedEngine* known = nullptr;
         LayerRange layers; // As known, then as ordered.
@@ -107,8 +111,63 @@
         return ranges;
     }
 
-    // The first copy of a data centre whose engines are all empty.
-    void placeWholeCopy(const ModelLayout& model, std::vector<Engine*> engines)
+    // Drops the smallest engines beyond n and keeps the order of the others.
+    void keepLargest(const ModelLayout& model, std::vector<Engine*>& engines, size_t n)
+    {
+        if (engines.size() <= n)
+            return;
+        auto bySize = engines;
+        std::stable_sort(bySize.begin(), bySize.end(),
+            [&](const Engine* a, const Engine* b) { return memoryOf(model, *a) > memoryOf(model, *b); });
+        bySize.resize(n);
+        std::erase_if(engines, [&](Engine* it) { return std::find(bySize.begin(), bySize.end(), it) == bySize.end(); });
+    }
+
+    // Copies of the model that the engines hold together, while their weights leave enough memory for requests.
+    size_t copiesIn(const ModelLayout& model, const std::vector<Engine*>& engines)
+    {
+        double memory = 0;
+        for (const auto* it : engines)
+            memory += memoryOf(model, *it);
+        double weights = model.layers * model.layerMb;
+        return weights > 0 ? std::max<size_t>(1, static_cast<size_t>(memory * copyShare / weights)) : 1;
+    }
+
+    // Deals the engines out in turn, so that each copy receives its part of the large ones, and cuts each copy in the
+    // order of the engines. Returns false, and orders nothing, when a copy does not fit its engines.
+    bool cutCopies(const ModelLayout& model, const std::vector<Engine*>& engines, size_t n)
+    {
+        std::vector<std::vector<Engine*>> copies(n);
+        for (size_t i = 0; i < engines.size(); ++i)
+            copies[i % n].push_back(engines[i]);
+        std::vector<std::vector<LayerRange>> ranges;
+        for (auto& copy : copies) {
+            keepLargest(model, copy, maxChainStages);
+            ranges.push_back(tile(model, copy));
+            if (ranges.back().empty())
+                return false;
+        }
+        for (size_t i = 0; i < n; ++i) {
+            for (size_t k = 0; k < copies[i].size(); ++k) {
+                if (ranges[i][k].count() && ranges[i][k] != copies[i][k]->layers)
+                    order(*copies[i][k], ranges[i][k]);
+            }
+        }
+        return true;
+    }
+
+    // Cuts as many copies as the engines hold; false when they do not hold one.
+    bool cutMostCopies(const ModelLayout& model, const std::vector<Engine*>& engines)
+    {
+        for (auto n = copiesIn(model, engines); n; --n) {
+            if (cutCopies(model, engines, n))
+                return true;
+        }
+        return false;
+    }
+
+    // The first copies of a data centre whose engines are all empty.
+    void placeWholeCopies(const ModelLayout& model, std::vector<Engine*> engines)
     {
         // The largest engine comes first: as the head of chains it holds the slots of all their requests.
         std::sort(engines.begin(), engines.end(), [&](const Engine* a, const Engine* b) {
@@ -116,25 +175,17 @@
             double memoryB = memoryOf(model, *b);
             return memoryA != memoryB ? memoryA > memoryB : a->known->endpoint < b->known->endpoint;
         });
-        auto ranges = tile(model, engines);
-        for (size_t i = 0; i < ranges.size(); ++i) {
-            if (ranges[i].count())
-                order(*engines[i], ranges[i]);
-        }
+        cutMostCopies(model, engines);
     }
 
     // Cuts the model anew over the engines of a data centre that misses layers. In the order of their present ranges,
     // each engine moves by a few layers only.
-    void placeAnew(const ModelLayout& model, std::vector<Engine*> engines)
+    bool placeAnew(const ModelLayout& model, std::vector<Engine*> engines)
     {
         std::stable_sort(engines.begin(), engines.end(), [](const Engine* a, const Engine* b) {
             return a->layers.first + a->layers.end < b->layers.first + b->layers.end;
         });
-        auto ranges = tile(model, engines);
-        for (size_t i = 0; i < ranges.size(); ++i) {
-            if (ranges[i].count() && ranges[i] != engines[i]->layers)
-                order(*engines[i], ranges[i]);
-        }
+        return cutMostCopies(model, engines);
     }
 
     // Layers that crowded engines could give back if the window had another copy: those at the edges of their ranges.
@@ -355,10 +406,8 @@
         if (!hasWhole && hasBusy)
             return;
         for (auto& engines : broken) {
-            if (tile(model, engines).empty())
-                continue;
-            placeAnew(model, engines);
-            return;
+            if (placeAnew(model, engines))
+                return;
         }
     }
 
@@ -402,7 +451,7 @@
         bool isNew = std::none_of(
             staying.begin(), staying.end(), [](const Engine* it) { return it->layers.count() || it->known->isBusy; });
         if (isNew)
-            placeWholeCopy(model, staying);
+            placeWholeCopies(model, staying);
         fillEmpty(model, local, all);
         closeGaps(model, local, all);
         trimCrowded(model, local);
--- a/test/core/ChainPlannerTest.cpp
+++ b/test/core/ChainPlannerTest.cpp
@@ -99,6 +99,30 @@
     CHECK(covered > 50);
 }
 
+// Engines refuse a chain of more than 32 stages as malformed, so that no request is served while one is chosen.
+TEST_CASE("a chain has no more stages than engines accept, though fast engines with few layers abound")
+{
+    std::vector<EndpointRow> endpoints;
+    for (uint32_t layer = 0; layer < 80; ++layer) {
+        auto name = "small-" + std::to_string(layer);
+        endpoints.push_back(test::engineRow(name, { layer, layer + 1 }));
+    }
+    SUBCASE("a slower engine holds enough layers")
+    {
+        endpoints.push_back(test::engineRow("large", { 0, 60 }));
+        Fixture fixture(tableOf(endpoints, 80));
+        auto plan = fixture.plan();
+        CHECK(plan.chain.size() <= maxChainStages);
+        REQUIRE(!plan.chain.empty());
+        CHECK(plan.chain.back().layers.end == 80);
+    }
+    SUBCASE("no chain is short enough")
+    {
+        Fixture fixture(tableOf(endpoints, 80));
+        CHECK(fixture.plan().chain.empty());
+    }
+}
+
 TEST_CASE("endpoints of another version or without the adapter are never part of a chain")
 {
     auto other = test::engineRow("other-version", { 0, 6 });
--- a/test/core/LayerPlacementTest.cpp
+++ b/test/core/LayerPlacementTest.cpp
@@ -77,11 +77,11 @@
     return missing;
 }
 
-void checkMemory(const std::vector<PlacedEngine>& engines)
+void checkMemory(const std::vector<PlacedEngine>& engines, const ModelLayout& model = usersModel())
 {
     for (const auto& it : engines) {
         CAPTURE(it.endpoint.value());
-        CHECK(it.layers.count() <= layerCapacity(usersModel(), it.accelerator));
+        CHECK(it.layers.count() <= layerCapacity(model, it.accelerator));
     }
 }
 
@@ -106,6 +106,55 @@
 }
 
 // 54 streams a second of about 3 s with 930 tokens each are 150,000 tokens at once.
+// On one data centre of the grown deployment a single copy has a stage on each of 33 engines, which engines refuse.
+TEST_CASE("a data centre with memory for several copies holds them on disjoint engines in short chains")
+{
+    std::vector<PlacedEngine> engines;
+    add(engines, "mall", "a100s", 4);
+    add(engines, "mall", "l4", 11);
+    add(engines, "mall", "t4", 18);
+    auto model = usersModel();
+    carryOut(engines, planPlacement(model, engines));
+    checkMemory(engines);
+    std::vector<size_t> copies(model.layers);
+    for (const auto& it : engines) {
+        for (auto layer = it.layers.first; layer < it.layers.end; ++layer)
+            ++copies[layer];
+    }
+    // 641 GB hold two copies of 140 GB in 60 % of the memory.
+    CHECK(*std::min_element(copies.begin(), copies.end()) == 2);
+    CHECK(*std::max_element(copies.begin(), copies.end()) == 2);
+    CHECK(placementTokens(model, engines) > 415.0 / 3 * 930);
+
+    SUBCASE("the loss of one engine leaves no gap")
+    {
+        engines.erase(engines.begin());
+        CHECK(missingLayers(engines, "mall") == 0);
+        CHECK(!hasGap(model, engines));
+    }
+}
+
+TEST_CASE("a copy uses no more engines than a chain may have stages")
+{
+    std::vector<PlacedEngine> engines;
+    auto model = usersModel();
+    // Memory for two copies and more.
+    model.kinds["small"] = { 9000, 15, 15 };
+    add(engines, "mall", "small", 60);
+    carryOut(engines, planPlacement(model, engines));
+    checkMemory(engines, model);
+    CHECK(missingLayers(engines, "mall") == 0);
+    uint32_t end = 0;
+    for (size_t stages = 0; end < model.layers && stages <= maxChainStages; ++stages) {
+        uint32_t next = end;
+        for (const auto& it : engines)
+            next = it.layers.contains(end) ? std::max(next, it.layers.end) : next;
+        REQUIRE(next > end);
+        end = next;
+        CHECK(stages < maxChainStages);
+    }
+}
+
 TEST_CASE("the layout leaves memory for the tokens of the users' peak")
 {
     CHECK(placementTokens(usersModel(), placedAuthority()) >= 160 * 930);
