--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -9,8 +9,8 @@
     using std::chrono::milliseconds;
 
     // A leaving endpoint receives nothing later than 2 s after it said so. The rest of that time is for the read, its
-    // answer and the requests that are under way.
-    constexpr milliseconds listInterval { 1200 };
+    // answer, other daemons that learn it from this one, and the time in which they notice that this one froze.
+    constexpr milliseconds listInterval { 900 };
     // While there are no endpoints yet, so that the layout is made well before the first caller.
     constexpr milliseconds firstListInterval { 250 };
     constexpr milliseconds retryInterval { 250 };
@@ -46,13 +46,23 @@
     , m_ports(ports)
     , m_age(age)
     , m_core(coreConfigOf(settings))
-    , m_planner(io, clock, journal, ports.lease, ports.engines, m_directory, std::move(lease))
+    , m_planner(io, clock, journal, ports.lease, ports.engines, m_directory, lease)
+    , m_sharing(io, clock, journal, metrics, settings, ports.hosts, lease.holder,
+          { [this](const FactQuestion& question) { return tell(question); },
+              [this] {
+                  FactQuestion question;
+                  question.configurationVersion = m_configuration ? m_configuration->version : 0;
+                  question.wantsHeartbeats = m_directory.hasSilent();
+                  return question;
+              },
+              [this](const Facts& facts, Instant askedAt) { return adoptFacts(facts, askedAt); } })
 {
 }
 
 void Control::start(Traffic& traffic)
 {
     m_traffic = &traffic;
+    m_sharing.start();
     net::co_spawn(m_io, followConfiguration(), net::detached);
     net::co_spawn(m_io, followEndpoints(), net::detached);
     net::co_spawn(m_io, tick(), net::detached);
@@ -119,15 +129,15 @@
 {
     net::steady_timer timer(m_io);
     while (true) {
+        co_await m_sharing.untilReading();
         auto sighting = co_await m_ports.configurations.next();
         noteDependency(
             m_areConfigurationsUp, sighting.has_value(), "configuration", m_ports.configurations.lastReason());
         if (sighting) {
-            adopt(sighting->configuration);
-            // Without a configuration there is nothing whose age counts.
-            if (m_configuration)
-                m_age.confirm(sighting->confirmedAt);
+            adopt(sighting->configuration, sighting->document);
+            confirm(sighting->confirmedAt);
         }
+        m_sharing.ownRead(sighting.has_value());
         if (sighting && m_configuration)
             continue;
         timer.expires_after(retryInterval);
@@ -136,12 +146,64 @@
     }
 }
 
-void Control::adopt(const std::shared_ptr<const RoutingConfiguration>& configuration)
+void Control::confirm(Instant at)
+{
+    m_confirmedAt = std::max(m_confirmedAt, at);
+    // Without a configuration there is nothing whose age counts.
+    if (m_configuration)
+        m_age.confirm(m_confirmedAt);
+}
+
+Facts Control::tell(const FactQuestion& question) const
+{
+    auto now = m_clock.now();
+    auto ageOf = [now](Instant at) { return std::chrono::ceil<milliseconds>(now - at); };
+    Facts facts;
+    facts.configurationVersion = m_configuration ? m_configuration->version : 0;
+    facts.configurationAge = ageOf(m_confirmedAt);
+    if (m_document && question.configurationVersion != facts.configurationVersion)
+        facts.configurationDocument = *m_document;
+    facts.endpointsRevision = m_endpointsRevision;
+    facts.endpointsAge = ageOf(m_directory.updatedAt());
+    if (question.wantsHeartbeats || question.endpointsRevision != m_endpointsRevision)
+        facts.endpoints = m_directory.endpoints();
+    if (auto returnedAt = m_directory.returnedAt(now))
+        facts.returnedSince = ageOf(*returnedAt);
+    return facts;
+}
+
+bool Control::adoptFacts(const Facts& facts, Instant askedAt)
+{
+    auto version = m_configuration ? m_configuration->version : 0;
+    if (facts.configurationVersion < version)
+        return false;
+    if (facts.configurationDocument)
+        adopt(m_ports.configurations.decode(*facts.configurationDocument),
+            std::make_shared<const std::string>(*facts.configurationDocument));
+    version = m_configuration ? m_configuration->version : 0;
+    if (version != facts.configurationVersion)
+        return false;
+    // The ages were taken after the question was asked, so that these moments are not too late.
+    confirm(askedAt - facts.configurationAge);
+    auto updatedAt = askedAt - facts.endpointsAge;
+    std::optional<Instant> returnedAt;
+    if (facts.returnedSince)
+        returnedAt = askedAt - *facts.returnedSince;
+    if (facts.endpoints)
+        adoptEndpoints(m_directory.adopt(updatedAt, *facts.endpoints, returnedAt));
+    else
+        m_directory.confirm(updatedAt);
+    return true;
+}
+
+void Control::adopt(const std::shared_ptr<const RoutingConfiguration>& configuration,
+    const std::shared_ptr<const std::string>& document)
 {
     // Versions never go back within the life of a process.
     if (!configuration || (m_configuration && configuration->version <= m_configuration->version))
         return;
     m_configuration = configuration;
+    m_document = document;
     m_routes = std::make_shared<const RouteIndex>(*m_configuration);
     m_planner.adopt(m_configuration);
     m_metrics.add(daemon::Counter::TablesAdopted);
@@ -171,19 +233,14 @@
 {
     net::steady_timer timer(m_io);
     while (true) {
+        co_await m_sharing.untilReading();
         auto listed = co_await m_ports.endpoints.list();
         noteDependency(m_areEndpointsUp, listed.has_value(), "endpoint-list", m_ports.endpoints.lastReason());
-        if (!listed)
+        if (listed)
+            adoptEndpoints(m_directory.update(m_clock.now(), *listed));
+        else
             m_directory.missed();
-        else if (m_directory.update(m_clock.now(), *listed)) {
-            m_journal.write(LineKind::Info, "endpoints-changed",
-                { { "endpoints", m_directory.endpoints().size() }, { "table_revision", m_revision + 1 } });
-            publish();
-        }
-        for (const auto& it : m_directory.takeRecovered()) {
-            m_journal.write(LineKind::Info, "endpoint-recovered", { { "endpoint", it.value() } });
-            apply(EndpointStateSeen { it, EndpointStateSource::Engine, EndpointLife::Serving });
-        }
+        m_sharing.ownRead(listed.has_value());
         bool hasSome = listed && !listed->empty();
         timer.expires_after(!listed ? retryInterval : hasSome ? listInterval : firstListInterval);
         ErrorCode ec;
@@ -191,6 +248,20 @@
     }
 }
 
+void Control::adoptEndpoints(bool hasChanged)
+{
+    if (hasChanged) {
+        ++m_endpointsRevision;
+        m_journal.write(LineKind::Info, "endpoints-changed",
+            { { "endpoints", m_directory.endpoints().size() }, { "table_revision", m_revision + 1 } });
+        publish();
+    }
+    for (const auto& it : m_directory.takeRecovered()) {
+        m_journal.write(LineKind::Info, "endpoint-recovered", { { "endpoint", it.value() } });
+        apply(EndpointStateSeen { it, EndpointStateSource::Engine, EndpointLife::Serving });
+    }
+}
+
 net::awaitable<void> Control::tick()
 {
     net::steady_timer timer(m_io);
@@ -198,6 +269,7 @@
         timer.expires_after(tickInterval);
         ErrorCode ec;
         co_await timer.async_wait(awaitInto(ec));
+        m_planner.setCandidate(m_sharing.isReading() || m_settings.isPreferredPlanner);
         for (const auto& it : m_pauses.takeEnded(m_clock.now()))
             apply(EndpointStateSeen { it, EndpointStateSource::Health, EndpointLife::Serving });
         apply(Tick { number });
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "router/FactSharing.h"
 #include "router/LayoutPlanner.h"
 #include "router/Traffic.h"
 
@@ -12,6 +13,7 @@
 struct ControlPorts {
     ConfigurationSource& configurations;
     EndpointSource& endpoints;
+    HostRegistry& hosts;
     LeaseStore& lease;
     EngineControl& engines;
 };
@@ -28,6 +30,9 @@
     // The process has begun to drain.
     void resign() { m_planner.resign(); }
 
+    // Answers another daemon; see FactSharing.
+    net::awaitable<TextAnswer> answerPeer(std::string target) { return m_sharing.answer(std::move(target)); }
+
     // Thread-safe.
     void postInput(CoreInput);
     void reportSilent(const EndpointId&);
@@ -38,7 +43,11 @@
     net::awaitable<void> tick();
     void apply(const CoreInput&);
     void pauseAfter(const AttemptFailed&);
-    void adopt(const std::shared_ptr<const RoutingConfiguration>&);
+    void adopt(const std::shared_ptr<const RoutingConfiguration>&, const std::shared_ptr<const std::string>& document);
+    void confirm(Instant at);
+    void adoptEndpoints(bool hasChanged);
+    Facts tell(const FactQuestion&) const;
+    bool adoptFacts(const Facts&, Instant askedAt);
     void publish();
     void noteDependency(bool& isUp, bool isUpNow, const char* name, const Reason&);
 
@@ -54,9 +63,13 @@
     EndpointDirectory m_directory;
     EndpointPauses m_pauses;
     LayoutPlanner m_planner;
+    FactSharing m_sharing;
     std::shared_ptr<const RoutingConfiguration> m_configuration;
+    std::shared_ptr<const std::string> m_document; // That m_configuration was decoded from.
     std::shared_ptr<const RouteIndex> m_routes; // Of m_configuration.
+    Instant m_confirmedAt {}; // When the platform last vouched for m_configuration, or for its absence.
     uint64_t m_revision = 0; // Of the table in the core.
+    uint64_t m_endpointsRevision = 0; // Rises with each change of the endpoints, heartbeats left out.
     bool m_areConfigurationsUp = true; // As last logged.
     bool m_areEndpointsUp = true;
 };
--- a/src/router/EndpointDirectory.cpp
+++ b/src/router/EndpointDirectory.cpp
@@ -2,8 +2,6 @@
 
 #include "router/EndpointDirectory.h"
 
-#include <algorithm>
-
 namespace jacinthspindle::router {
 
 bool EndpointDirectory::update(Instant now, const std::vector<EndpointSighting>& listed)
@@ -25,6 +23,32 @@
                 next.emplace(id, endpoint);
         }
     }
+    return replace(std::move(next));
+}
+
+bool EndpointDirectory::adopt(
+    Instant updatedAt, std::vector<EndpointSighting> endpoints, std::optional<Instant> returnedAt)
+{
+    m_isAway = false;
+    m_updatedAt = updatedAt;
+    m_returnedAt = returnedAt.value_or(Instant());
+    std::map<EndpointId, EndpointSighting> next;
+    for (auto& it : endpoints) {
+        auto id = it.endpoint;
+        next.emplace(std::move(id), std::move(it));
+    }
+    return replace(std::move(next));
+}
+
+std::optional<Instant> EndpointDirectory::returnedAt(Instant now) const
+{
+    if (!isWithinReturn(now))
+        return std::nullopt;
+    return m_returnedAt;
+}
+
+bool EndpointDirectory::replace(std::map<EndpointId, EndpointSighting> next)
+{
     auto withoutHeartbeats = [](EndpointSighting sighting) {
         sighting.heartbeats = 0;
         return sighting;
--- a/src/router/EndpointDirectory.h
+++ b/src/router/EndpointDirectory.h
@@ -5,6 +5,7 @@
 
 #include "router/Ports.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <vector>
@@ -23,6 +24,13 @@
     // The platform did not answer.
     void missed() { m_isAway = true; }
 
+    // Another daemon, whose own directory this is, learned it from the platform at updatedAt. returnedAt: when the
+    // platform came back, while entries that lapsed are waited for. Returns true when anything but heartbeats has
+    // changed.
+    bool adopt(Instant updatedAt, std::vector<EndpointSighting>, std::optional<Instant> returnedAt);
+    // Another daemon confirmed at updatedAt that the list is still the same.
+    void confirm(Instant updatedAt) { m_updatedAt = std::max(m_updatedAt, updatedAt); }
+
     // An engine reported that the endpoint does not answer.
     void markSilent(const EndpointId&);
     // Returns the endpoints that have sent a heartbeat since they were marked as silent, and forgets the marks.
@@ -37,8 +45,12 @@
     std::vector<EndpointSighting> endpoints() const;
     const EndpointSighting* find(const EndpointId&) const;
     Instant updatedAt() const { return m_updatedAt; }
+    // When the platform came back from an outage, while entries that lapsed are waited for.
+    std::optional<Instant> returnedAt(Instant now) const;
+    bool hasSilent() const { return !m_silent.empty(); }
 
 private:
+    bool replace(std::map<EndpointId, EndpointSighting>);
     bool isWithinReturn(Instant now) const { return m_returnedAt != Instant() && now - m_returnedAt < returnTime; }
 
     std::map<EndpointId, EndpointSighting> m_endpoints;
--- /dev/null
+++ b/src/router/FactRelay.cpp
@@ -0,0 +1,143 @@
+// Encoding of questions as targets and of answers as JSON.
+
+#include "router/FactRelay.h"
+
+#include "adapters/JsonFields.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace jacinthspindle::router {
+
+namespace {
+
+    using internal::Json;
+    using internal::numberOf;
+    using internal::textOf;
+    using std::chrono::milliseconds;
+
+    constexpr std::string_view questionPath = "/facts/";
+
+    Json encodeEndpoint(const EndpointSighting& it)
+    {
+        return Json::array({ it.endpoint.value(), it.instance, it.service, it.dataCentre.value(), it.address,
+            it.accelerator, it.slots, it.isLeaving, it.layers.first, it.layers.end, it.heartbeats });
+    }
+
+    EndpointSighting decodeEndpoint(const Json& json)
+    {
+        constexpr size_t members = 11;
+        if (!json.is_array() || json.size() != members)
+            throw internal::JsonError("expected an endpoint");
+        EndpointSighting it;
+        it.endpoint = EndpointId(json[0].get<std::string>());
+        it.instance = json[1].get<std::string>();
+        it.service = json[2].get<std::string>();
+        it.dataCentre = DataCentreId(json[3].get<std::string>());
+        it.address = json[4].get<std::string>();
+        if (!parseAddress(it.address))
+            throw internal::JsonError("expected an address");
+        it.accelerator = json[5].get<std::string>();
+        it.slots = internal::toNumber<uint32_t>(json[6]);
+        it.isLeaving = json[7].get<bool>();
+        it.layers = { internal::toNumber<uint32_t>(json[8]), internal::toNumber<uint32_t>(json[9]) };
+        it.heartbeats = internal::toNumber<uint64_t>(json[10]);
+        return it;
+    }
+
+    milliseconds ageOf(const Json& json, const char* name)
+    {
+        return milliseconds(numberOf<uint32_t>(json, name));
+    }
+
+    uint32_t encodeAge(milliseconds age)
+    {
+        return static_cast<uint32_t>(std::clamp<int64_t>(age.count(), 0, std::numeric_limits<uint32_t>::max()));
+    }
+
+    Facts decode(const Json& json)
+    {
+        Facts facts;
+        facts.source = textOf(json, "source");
+        facts.news = numberOf<uint64_t>(json, "news");
+        facts.configurationVersion = numberOf<uint64_t>(json, "configuration_version");
+        facts.configurationAge = ageOf(json, "configuration_age_ms");
+        if (json.contains("configuration"))
+            facts.configurationDocument = textOf(json, "configuration");
+        facts.endpointsRevision = numberOf<uint64_t>(json, "endpoints_revision");
+        facts.endpointsAge = ageOf(json, "endpoints_age_ms");
+        if (json.contains("endpoints")) {
+            facts.endpoints.emplace();
+            for (const auto& it : internal::listOf(json, "endpoints"))
+                facts.endpoints->push_back(decodeEndpoint(it));
+        }
+        if (json.contains("returned_since_ms"))
+            facts.returnedSince = ageOf(json, "returned_since_ms");
+        return facts;
+    }
+
+    // Splits off the part before the next slash.
+    std::string_view takePart(std::string_view& text)
+    {
+        auto slash = text.find('/');
+        auto part = text.substr(0, slash);
+        text = slash == std::string_view::npos ? std::string_view() : text.substr(slash + 1);
+        return part;
+    }
+
+    bool takeNumber(std::string_view& text, uint64_t& number)
+    {
+        auto part = takePart(text);
+        auto [end, ec] = std::from_chars(part.data(), part.data() + part.size(), number);
+        return ec == std::errc() && !part.empty() && end == part.data() + part.size();
+    }
+
+} // namespace
+
+std::string encodeQuestion(const FactQuestion& question)
+{
+    return std::string(questionPath) + std::to_string(question.news) + '/'
+        + std::to_string(question.configurationVersion) + '/' + std::to_string(question.endpointsRevision) + '/'
+        + (question.wantsHeartbeats ? "1/" : "0/") + question.source;
+}
+
+std::optional<FactQuestion> decodeQuestion(std::string_view target)
+{
+    if (!target.starts_with(questionPath))
+        return std::nullopt;
+    target.remove_prefix(questionPath.size());
+    FactQuestion question;
+    uint64_t wantsHeartbeats = 0;
+    if (!takeNumber(target, question.news) || !takeNumber(target, question.configurationVersion)
+        || !takeNumber(target, question.endpointsRevision) || !takeNumber(target, wantsHeartbeats))
+        return std::nullopt;
+    question.wantsHeartbeats = wantsHeartbeats != 0;
+    question.source = std::string(target);
+    return question;
+}
+
+std::string encodeFacts(const Facts& facts)
+{
+    Json json { { "source", facts.source }, { "news", facts.news },
+        { "configuration_version", facts.configurationVersion },
+        { "configuration_age_ms", encodeAge(facts.configurationAge) },
+        { "endpoints_revision", facts.endpointsRevision }, { "endpoints_age_ms", encodeAge(facts.endpointsAge) } };
+    if (facts.configurationDocument)
+        json["configuration"] = *facts.configurationDocument;
+    if (facts.endpoints) {
+        auto& list = json["endpoints"] = Json::array();
+        for (const auto& it : *facts.endpoints)
+            list.push_back(encodeEndpoint(it));
+    }
+    if (facts.returnedSince)
+        json["returned_since_ms"] = encodeAge(*facts.returnedSince);
+    // Names that are not UTF-8 were refused when the platform's answers were decoded.
+    return internal::dumpJson(json).value_or(std::string());
+}
+
+std::optional<Facts> decodeFacts(std::string_view text)
+{
+    return internal::decodeJson(text, decode);
+}
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/FactSharing.cpp
@@ -0,0 +1,205 @@
+// Questions and answers between daemons.
+
+#include "router/FactSharing.h"
+
+namespace jacinthspindle::router {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // An answer without news is sent after this time, so that the asking daemon knows that this one lives.
+    constexpr milliseconds longestAnswerWait { 500 };
+    // A source without an answer for this long counts as failed. A change of the configuration must be followed within
+    // 2 s, also when the source froze right before it.
+    constexpr milliseconds askTimeout { 900 };
+    // Facts older than this mean that the source has lost the platform: it confirms the configuration each 0.6 s and
+    // reads the endpoints each 0.9 s.
+    constexpr milliseconds longestFactAge { 1200 };
+    // At the first start of all hosts they enter themselves within 0.3 s of each other.
+    constexpr milliseconds entryTime { 500 };
+    constexpr milliseconds registryRetry { 1000 };
+    // A daemon that reads the platform itself looks for a host that it could ask instead.
+    constexpr milliseconds registryInterval { 3000 };
+    constexpr milliseconds longestRegistryInterval { 30000 };
+    constexpr milliseconds sourceCheckInterval { 100 };
+    // Between two questions, so that a source that always has news is not asked all the time.
+    constexpr milliseconds shortestAskInterval { 50 };
+
+} // namespace
+
+FactSharing::FactSharing(net::io_context& io, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
+    const RouterSettings& settings, HostRegistry& registry, std::string name, FactPort port)
+    : m_io(io)
+    , m_clock(clock)
+    , m_journal(journal)
+    , m_metrics(metrics)
+    , m_registry(registry)
+    , m_port(std::move(port))
+    , m_self { settings.host, settings.dataCentre, settings.peerAddress, settings.linkMbps }
+    , m_name(std::move(name))
+    , m_sources(settings.host, settings.dataCentre)
+    , m_change(io)
+{
+}
+
+void FactSharing::start()
+{
+    if (m_self.address.empty()) {
+        m_isReading = true;
+        return;
+    }
+    net::co_spawn(m_io, followHosts(), net::detached);
+}
+
+net::awaitable<void> FactSharing::sleep(Duration time)
+{
+    net::steady_timer timer(m_io, time);
+    ErrorCode ec;
+    co_await timer.async_wait(awaitInto(ec));
+}
+
+net::awaitable<void> FactSharing::untilReading()
+{
+    while (!m_isReading)
+        co_await m_change.wait();
+}
+
+void FactSharing::ownRead(bool didAnswer)
+{
+    m_sources.ownRead(m_clock.now(), didAnswer);
+    if (didAnswer)
+        noteNews();
+}
+
+void FactSharing::noteNews()
+{
+    ++m_news;
+    m_change.notify();
+}
+
+// Reads the list of hosts and enters this daemon if its entry is missing or has changed.
+net::awaitable<bool> FactSharing::enterHosts()
+{
+    auto hosts = co_await m_registry.list();
+    if (!hosts)
+        co_return false;
+    bool isEntered = std::find(hosts->begin(), hosts->end(), m_self) != hosts->end();
+    if (!isEntered) {
+        isEntered = co_await m_registry.enter(m_self);
+        co_await sleep(entryTime);
+        auto later = co_await m_registry.list();
+        if (later)
+            hosts = std::move(later);
+    }
+    m_sources.adopt(*hosts);
+    m_journal.write(LineKind::Info, "hosts-listed", { { "hosts", hosts->size() }, { "is_entered", isEntered } });
+    co_return isEntered;
+}
+
+net::awaitable<void> FactSharing::followHosts()
+{
+    bool isEntered = co_await enterHosts();
+    net::co_spawn(m_io, followPeers(), net::detached);
+    Duration interval = registryInterval;
+    while (true) {
+        co_await sleep(isEntered ? interval : Duration(registryRetry));
+        if (isEntered && !m_isReading)
+            continue;
+        interval = std::min<Duration>(interval * 2, longestRegistryInterval);
+        isEntered = co_await enterHosts();
+    }
+}
+
+void FactSharing::setReading(bool isReading, const char* source)
+{
+    m_isReading = isReading;
+    m_journal.write(LineKind::Info, "facts-source", { { "source", source }, { "hosts", m_sources.hosts() } });
+    m_change.notify();
+}
+
+net::awaitable<void> FactSharing::followPeers()
+{
+    while (true) {
+        const auto* current = m_sources.current(m_clock.now());
+        if (!current) {
+            if (!m_isReading)
+                setReading(true, "platform");
+            m_source.clear();
+            co_await sleep(sourceCheckInterval);
+            continue;
+        }
+        auto peer = *current;
+        if (m_source != peer.host.value()) {
+            m_source = peer.host.value();
+            m_caller.emplace(m_io.get_executor(), peer.address);
+            setReading(false, m_source.c_str());
+        }
+        bool isUseful = co_await askPeer(peer);
+        if (!isUseful) {
+            m_sources.failed(m_clock.now(), peer.host);
+            continue;
+        }
+        m_sources.answered(peer.host);
+        co_await sleep(shortestAskInterval);
+    }
+}
+
+net::awaitable<bool> FactSharing::askPeer(const PeerHost& peer)
+{
+    auto question = m_port.ask();
+    question.source = m_last.source;
+    question.news = m_last.news;
+    question.endpointsRevision = m_last.endpointsRevision;
+    auto askedAt = m_clock.now();
+    auto reply = co_await m_caller->call(http::verb::get, encodeQuestion(question), {}, askTimeout);
+    std::optional<Facts> facts;
+    if (reply && reply->status == 200)
+        facts = decodeFacts(reply->body);
+    auto fail = [&](const std::string& reason) {
+        m_journal.write(LineKind::Warning, "facts-source-failed",
+            { { "source", peer.host.value() }, { "reason", reason },
+                { "configuration_age_ms", facts ? facts->configurationAge.count() : -1 },
+                { "endpoints_age_ms", facts ? facts->endpointsAge.count() : -1 } });
+        return false;
+    };
+    if (!reply)
+        co_return fail(m_caller->lastReason().text);
+    if (!facts) {
+        m_metrics.add(daemon::Counter::PeerMessagesRejected);
+        co_return fail("status " + std::to_string(reply->status) + " or malformed");
+    }
+    if (std::max(facts->configurationAge, facts->endpointsAge) > longestFactAge)
+        co_return fail("old facts");
+    if (!m_port.adopt(*facts, askedAt))
+        co_return fail("facts of no use");
+    m_last.source = facts->source;
+    m_last.news = facts->news;
+    m_last.endpointsRevision = facts->endpointsRevision;
+    noteNews();
+    co_return true;
+}
+
+net::awaitable<TextAnswer> FactSharing::answer(std::string target)
+{
+    auto question = decodeQuestion(target);
+    if (!question) {
+        m_metrics.add(daemon::Counter::PeerMessagesRejected);
+        co_return TextAnswer { 404, {} };
+    }
+    m_metrics.add(daemon::Counter::PeerMessagesReceived);
+    bool isOwnAnswer = question->source == m_name;
+    auto until = m_clock.now() + longestAnswerWait;
+    // A daemon that has just started has nothing to tell yet.
+    auto hasNews = [&] { return m_news && (!isOwnAnswer || question->news != m_news); };
+    while (!hasNews() && m_clock.now() < until)
+        co_await m_change.wait();
+    if (!isOwnAnswer)
+        question->endpointsRevision = 0;
+    auto facts = m_port.tell(*question);
+    facts.source = m_name;
+    facts.news = m_news;
+    co_return TextAnswer { 200, encodeFacts(facts) };
+}
+
+} // namespace jacinthspindle::router
--- /dev/null
+++ b/src/router/FactSharing.h
@@ -0,0 +1,70 @@
+// Sharing of what the platform says between daemons: answers the questions of others, and asks one of them in place of
+// the platform.
+
+#pragma once
+
+#include "daemon/Metrics.h"
+#include "router/Broadcast.h"
+#include "router/FactRelay.h"
+#include "router/HttpCaller.h"
+#include "router/Journal.h"
+#include "router/RouterSettings.h"
+#include "router/TextServer.h"
+
+namespace jacinthspindle::router {
+
+// The owner of the facts.
+struct FactPort {
+    std::function<Facts(const FactQuestion&)> tell; // What this daemon knows; source and news are filled in elsewhere.
+    std::function<FactQuestion()>
+        ask; // What this daemon has; source, news and endpointsRevision are filled in elsewhere.
+    // Another daemon answered a question that was asked at askedAt. False: the answer is of no use.
+    std::function<bool(const Facts&, Instant askedAt)> adopt;
+};
+
+// Belongs to the control thread.
+class FactSharing {
+public:
+    FactSharing(net::io_context&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, HostRegistry&,
+        std::string name, FactPort);
+
+    // Without an address for other daemons, this one reads the platform itself from the start.
+    void start();
+
+    // True while this daemon reads the platform itself.
+    bool isReading() const { return m_isReading; }
+    net::awaitable<void> untilReading();
+    // The platform did or did not answer this daemon.
+    void ownRead(bool didAnswer);
+    // What this daemon knows has changed or was confirmed.
+    void noteNews();
+
+    // Answers another daemon as soon as there is news for it, or after a while.
+    net::awaitable<TextAnswer> answer(std::string target);
+
+private:
+    net::awaitable<void> followHosts();
+    net::awaitable<bool> enterHosts();
+    net::awaitable<void> followPeers();
+    net::awaitable<bool> askPeer(const PeerHost&);
+    void setReading(bool isReading, const char* source);
+    net::awaitable<void> sleep(Duration);
+
+    net::io_context& m_io;
+    const Clock& m_clock;
+    Journal& m_journal;
+    daemon::Metrics& m_metrics;
+    HostRegistry& m_registry;
+    FactPort m_port;
+    const PeerHost m_self;
+    const std::string m_name; // Unique per start of this daemon.
+    FactSources m_sources;
+    Broadcast m_change;
+    uint64_t m_news = 0;
+    bool m_isReading = false;
+    std::string m_source; // Host that is asked; empty while this daemon reads the platform itself.
+    std::optional<HttpCaller> m_caller; // To m_source.
+    FactQuestion m_last; // Source, news and revision of the last answer.
+};
+
+} // namespace jacinthspindle::router
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -45,7 +45,8 @@
 {
     net::steady_timer timer(m_io);
     while (true) {
-        co_await advanceLease();
+        if (m_isCandidate || m_term)
+            co_await advanceLease();
         bool holds = m_lease.isHolder(m_clock.now());
         if (holds != (m_term != 0)) {
             m_term = holds ? m_lease.terms() : 0;
--- a/src/router/LayoutPlanner.h
+++ b/src/router/LayoutPlanner.h
@@ -20,6 +20,8 @@
     {
         m_configuration = std::move(configuration);
     }
+    // Whether this daemon may gain the lease. One that holds it keeps it.
+    void setCandidate(bool isCandidate) { m_isCandidate = isCandidate; }
     // The process ends soon: another daemon is to plan.
     void resign() { m_lease.resign(); }
     bool isHolder() const { return m_lease.isHolder(m_clock.now()); }
@@ -45,6 +47,7 @@
     const EndpointDirectory& m_directory;
     PlannerLeaseConfig m_leaseConfig;
     PlannerLease m_lease;
+    bool m_isCandidate = true;
     uint64_t m_term = 0; // As last logged; 0 while the lease is not held.
     std::shared_ptr<const RoutingConfiguration> m_configuration;
     std::map<EndpointId, Ordered> m_ordered;
--- a/src/router/Ports.h
+++ b/src/router/Ports.h
@@ -17,6 +17,8 @@
 // What the platform says about the configuration.
 struct ConfigurationSighting {
     std::shared_ptr<const RoutingConfiguration> configuration; // Null when it has not changed.
+    // The text that it was decoded from, in the platform's format, for other daemons; see decode().
+    std::shared_ptr<const std::string> document;
     Instant confirmedAt {}; // No later than the moment at which the platform vouched for it.
 };
 
@@ -26,6 +28,8 @@
     // Waits for a change, or for the confirmation that there is none. Nothing when the platform did not answer;
     // lastReason() then tells why.
     virtual net::awaitable<std::optional<ConfigurationSighting>> next() = 0;
+    // Decodes a document that another daemon received; null when it is unreadable.
+    virtual std::shared_ptr<const RoutingConfiguration> decode(const std::string& document) const = 0;
     virtual Reason lastReason() const = 0;
 };
 
@@ -53,6 +57,16 @@
     virtual Reason lastReason() const = 0;
 };
 
+// The platform's list of the daemons that answer each other.
+class HostRegistry {
+public:
+    virtual ~HostRegistry() = default;
+    // Nothing when the platform did not answer.
+    virtual net::awaitable<std::optional<std::vector<PeerHost>>> list() = 0;
+    // Adds this daemon, or replaces its entry. False when that is not certain.
+    virtual net::awaitable<bool> enter(PeerHost) = 0;
+};
+
 struct LeaseRow {
     uint64_t version = 0; // 0: absent.
     std::string holder;
--- a/src/router/RouterSettings.h
+++ b/src/router/RouterSettings.h
@@ -17,7 +17,6 @@
     const char* tokens = "X-Tokens"; // Prompt tokens and the most output tokens, with a comma between them.
     const char* workspace = "X-Workspace"; // Set by the router from the caller's key.
     const char* expectedInstance = "X-Expected-Instance"; // The endpoint that is meant; any other one refuses.
-    const char* instance = "X-Instance"; // The endpoint that answers.
     const char* chain = "X-Chain"; // Stages of the request: IP:port=first-end, with commas between them.
     const char* priority = "X-Priority"; // Set by the router.
     const char* signature = "X-Signature"; // Proof that an answer is the endpoint's own.
@@ -31,6 +30,8 @@
     std::string frontAddress; // For callers; "IP:port", like those that follow.
     std::string readyAddress; // Where the load balancer asks whether this daemon takes connections.
     std::string metricsAddress; // Empty: no metrics are served.
+    std::string peerAddress; // For other daemons. Empty: this daemon neither asks nor answers others.
+    uint32_t linkMbps = 0; // Of the host; see PeerHost.
     bool isPreferredPlanner = false; // Claims the planner's lease first when the whole system starts.
     HeaderNames headers;
 
@@ -38,8 +39,6 @@
     std::chrono::milliseconds shutdownGrace { 8000 };
     // A key is in force no longer than this after it was taken away, by the platform's rules.
     std::chrono::milliseconds keyRevocationBound { 5000 };
-    // Rate at which endpoints say that they live.
-    std::chrono::milliseconds heartbeat { 1200 };
     // Repetitions per first attempt that all daemons together may send to a service.
     double retryShare = 0.2;
 };
--- a/src/router/TextServer.cpp
+++ b/src/router/TextServer.cpp
@@ -11,10 +11,15 @@
 
 } // namespace
 
-TextServer::TextServer(net::io_context& io, std::function<TextAnswer()> answer)
+TextHandler immediately(std::function<TextAnswer()> answer)
+{
+    return [answer = std::move(answer)](std::string) -> net::awaitable<TextAnswer> { co_return answer(); };
+}
+
+TextServer::TextServer(net::io_context& io, TextHandler handler)
     : m_io(io)
     , m_acceptor(io)
-    , m_answer(std::move(answer))
+    , m_handler(std::move(handler))
 {
 }
 
@@ -55,7 +60,8 @@
         co_await http::async_read(stream, buf, request, awaitInto(ec));
         if (ec)
             co_return;
-        auto answer = m_answer();
+        auto answer = co_await m_handler(std::string(request.target()));
+        stream.expires_after(idleTimeout);
         http::response<http::string_body> response { static_cast<http::status>(answer.status), 11 };
         response.set(http::field::content_type, "text/plain; version=0.0.4");
         response.keep_alive(request.keep_alive());
--- a/src/router/TextServer.h
+++ b/src/router/TextServer.h
@@ -1,4 +1,4 @@
-// A small HTTP server for the balancer's question and for metrics: each request gets a status and a text.
+// A small HTTP server for the balancer's question, metrics and other daemons: each request gets a status and a text.
 
 #pragma once
 
@@ -16,10 +16,16 @@
     std::string text;
 };
 
-// Belongs to one event loop; answer is called on it.
+// Makes the answer to a request for the target.
+using TextHandler = std::function<net::awaitable<TextAnswer>(std::string target)>;
+
+// A handler that needs neither the target nor time.
+TextHandler immediately(std::function<TextAnswer()> answer);
+
+// Belongs to one event loop; the handler runs on it.
 class TextServer {
 public:
-    TextServer(net::io_context&, std::function<TextAnswer()> answer);
+    TextServer(net::io_context&, TextHandler);
 
     // Returns why the address cannot be opened.
     std::optional<Reason> open(const std::string& address);
@@ -30,7 +36,7 @@
 
     net::io_context& m_io;
     tcp::acceptor m_acceptor;
-    std::function<TextAnswer()> m_answer;
+    TextHandler m_handler;
 };
 
 } // namespace jacinthspindle::router
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -101,24 +101,24 @@
         , m_journal(journal)
         , m_configurations(m_controlIo.get_executor(), clock, journal, settings.storeAddress)
         , m_endpoints(m_controlIo.get_executor(), journal, settings.storeAddress)
+        , m_hosts(m_controlIo.get_executor(), settings.storeAddress)
         , m_lease(m_controlIo.get_executor(), settings.storeAddress)
         , m_planningEngines(m_controlIo.get_executor())
         , m_trafficEngines(m_trafficIo.get_executor())
         , m_control(m_controlIo, clock, journal, m_metrics, settings.router,
-              { m_configurations, m_endpoints, m_lease, m_planningEngines }, leaseConfigOf(settings.router, clock),
-              m_age)
+              { m_configurations, m_endpoints, m_hosts, m_lease, m_planningEngines },
+              leaseConfigOf(settings.router, clock), m_age)
         , m_traffic(m_trafficIo, clock, journal, m_metrics, settings.router,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
                   [this](const EndpointId& id) { m_control.reportSilent(id); } },
               m_trafficEngines, m_age)
-        , m_ready(m_trafficIo,
-              [this] {
-                  return router::TextAnswer { m_traffic.isReady() ? 200U : 503U, {} };
-              })
-        , m_metricsServer(m_controlIo,
-              [this] {
-                  return router::TextAnswer { 200, m_metrics.prometheusText() };
-              })
+        , m_ready(m_trafficIo, router::immediately([this] {
+            return router::TextAnswer { m_traffic.isReady() ? 200U : 503U, {} };
+        }))
+        , m_metricsServer(m_controlIo, router::immediately([this] {
+            return router::TextAnswer { 200, m_metrics.prometheusText() };
+        }))
+        , m_peers(m_controlIo, [this](std::string target) { return m_control.answerPeer(std::move(target)); })
         , m_signals(m_controlIo, SIGTERM, SIGINT, SIGHUP)
     {
         m_metrics.addGauge("log_lines_suppressed", "Log lines that were left out since the start",
@@ -131,6 +131,10 @@
             return reason;
         if (auto reason = m_ready.open(m_settings.router.readyAddress))
             return reason;
+        if (!m_settings.router.peerAddress.empty()) {
+            if (auto reason = m_peers.open(m_settings.router.peerAddress))
+                return reason;
+        }
         if (!m_settings.router.metricsAddress.empty())
             return m_metricsServer.open(m_settings.router.metricsAddress);
         return std::nullopt;
@@ -173,6 +177,7 @@
     router::net::io_context m_trafficIo { 1 };
     platform::StoreConfigurationSource m_configurations;
     platform::StoreEndpointSource m_endpoints;
+    platform::StoreHosts m_hosts;
     platform::StoreLease m_lease;
     platform::WorkerControl m_planningEngines;
     platform::WorkerControl m_trafficEngines;
@@ -180,6 +185,7 @@
     router::Traffic m_traffic;
     router::TextServer m_ready;
     router::TextServer m_metricsServer;
+    router::TextServer m_peers;
     router::net::signal_set m_signals;
 };
 
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -139,11 +139,20 @@
         == R"({"expected":2,"from":20,"operation":"place","strategy":"queue","to":31})");
 }
 
+TEST_CASE("the row of a daemon comes out as it went in, and one without a usable address is refused")
+{
+    PeerHost host { HostId("front-1"), DataCentreId("z1"), "10.1.0.40:7340", 700 };
+    CHECK(platform::decodeHost("front-1", platform::encodeHost(host)) == host);
+    CHECK_FALSE(platform::decodeHost("front-1", replaced(platform::encodeHost(host), "10.1.0.40:7340", "nowhere")));
+    CHECK_FALSE(platform::decodeHost("front-1", "{}"));
+    CHECK_FALSE(platform::decodeHost("front-1", "\xff"));
+}
+
 TEST_CASE("settings are decoded, and a missing field is named")
 {
     const std::string text = R"({"nodeName":"front-1","ip":"10.1.0.40","zone":"z1",
         "listen":{"front":"10.1.0.40:8227","ready":"10.1.0.40:8220","control":"10.1.0.40:8229"},
-        "seeds":["10.1.0.40:8229"],"heartbeatMs":1200,
+        "seeds":["10.1.0.40:8229"],"internalPorts":[7340,7355],"limits":{"linkMbps":14.5},
         "bounds":{"graceS":8,"revokeMs":5000,"budgetRatio":0.2},"platform":{"address":"10.200.1.7:8223"},"new":1})";
     Reason reason;
     auto settings = platform::decodeSettings(text, reason);
@@ -151,6 +160,8 @@
     CHECK(settings->router.host == HostId("front-1"));
     CHECK(settings->router.dataCentre == DataCentreId("z1"));
     CHECK(settings->router.isPreferredPlanner);
+    CHECK(settings->router.peerAddress == "10.1.0.40:7340");
+    CHECK(settings->router.linkMbps == 14);
     CHECK(settings->router.shutdownGrace == std::chrono::seconds(8));
     CHECK(settings->storeAddress == "10.200.1.7:8223");
     CHECK_FALSE(platform::decodeSettings(replaced(text, "\"zone\"", "\"place\""), reason));
--- /dev/null
+++ b/test/router/FactRelayTest.cpp
@@ -0,0 +1,81 @@
+// Tests of the messages in which daemons tell each other what the platform says.
+
+#include "router/FactRelay.h"
+
+#include <doctest/doctest.h>
+#include <random>
+
+using namespace jacinthspindle;
+using namespace jacinthspindle::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+Facts sampleFacts()
+{
+    Facts facts;
+    facts.source = "host-1/17";
+    facts.news = 12;
+    facts.configurationVersion = 9;
+    facts.configurationAge = 340ms;
+    facts.configurationDocument = R"({"version":9,"text":"é\n"})";
+    facts.endpointsRevision = 4;
+    facts.endpointsAge = 800ms;
+    EndpointSighting endpoint;
+    endpoint.endpoint = EndpointId("i-1@1700000000000");
+    endpoint.instance = "i-1";
+    endpoint.service = "assistant";
+    endpoint.dataCentre = DataCentreId("north");
+    endpoint.address = "10.1.0.9:8080";
+    endpoint.accelerator = "l4";
+    endpoint.slots = 192;
+    endpoint.isLeaving = true;
+    endpoint.layers = { 10, 20 };
+    endpoint.heartbeats = 77;
+    facts.endpoints = { endpoint };
+    facts.returnedSince = 1500ms;
+    return facts;
+}
+
+} // namespace
+
+TEST_CASE("facts and questions come out as they went in")
+{
+    auto facts = sampleFacts();
+    CHECK(decodeFacts(encodeFacts(facts)) == facts);
+    CHECK(decodeFacts(encodeFacts(Facts {})) == Facts {});
+    FactQuestion question { "host-1/17", 12, 9, 4, true };
+    CHECK(decodeQuestion(encodeQuestion(question)) == question);
+    CHECK(decodeQuestion(encodeQuestion({})) == FactQuestion {});
+}
+
+TEST_CASE("what is not a question or not facts is refused")
+{
+    for (const char* target : { "", "/", "/facts/", "/facts/1/2/3", "/facts/1/2/x/0/s", "/facts/-1/2/3/0/s",
+             "/facts/1//3/0/s", "/facts/99999999999999999999/2/3/0/s", "/metrics" }) {
+        CAPTURE(target);
+        CHECK(!decodeQuestion(target));
+    }
+    auto text = encodeFacts(sampleFacts());
+    for (const char* bad : { "", "{}", "[]", "null", "{\"source\":1}" }) {
+        CAPTURE(bad);
+        CHECK(!decodeFacts(bad));
+    }
+    for (size_t n = 0; n < text.size(); ++n)
+        CHECK(!decodeFacts(text.substr(0, n)));
+}
+
+// A peer of another release or a broken one must not bring a daemon down.
+TEST_CASE("facts with changed bytes are refused or decoded, and never do harm")
+{
+    auto text = encodeFacts(sampleFacts());
+    std::mt19937 random { 5 };
+    for (int i = 0; i < 20000; ++i) {
+        auto changed = text;
+        for (int k = 0; k < 3; ++k)
+            changed[random() % changed.size()] = static_cast<char>(random());
+        auto facts = decodeFacts(changed);
+        if (facts && facts->endpoints)
+            CHECK(facts->endpoints->size() == 1);
+    }
+}
--- /dev/null
+++ b/test/router/FactSharingTest.cpp
@@ -0,0 +1,130 @@
+// Tests of daemons that learn from each other what the platform says.
+
+#include "support/RouterFixture.h"
+
+using namespace jacinthspindle;
+using namespace jacinthspindle::test;
+
+namespace {
+
+void setVersion(RouterFixture& router, uint64_t version)
+{
+    std::lock_guard lock(router.platform().mutex);
+    auto configuration = sampleConfiguration();
+    configuration.version = version;
+    router.platform().configuration = std::make_shared<const RoutingConfiguration>(configuration);
+    router.platform().document = std::make_shared<const std::string>(std::to_string(version));
+}
+
+uint32_t readsOf(RouterFixture& router)
+{
+    std::lock_guard lock(router.platform().mutex);
+    return router.platform().configurationReads;
+}
+
+router::Facts ask(RouterFixture& router, const router::FactQuestion& question)
+{
+    auto answer = talk(router.routerSettings().peerAddress,
+        "GET " + encodeQuestion(question) + " HTTP/1.1\r\nHost: peer\r\nConnection: close\r\n\r\n");
+    auto body = answer.find("\r\n\r\n");
+    REQUIRE(body != std::string::npos);
+    auto facts = router::decodeFacts(answer.substr(body + 4));
+    REQUIRE(facts);
+    return *facts;
+}
+
+} // namespace
+
+TEST_CASE("a daemon answers with what it knows, and leaves out what the other one has already")
+{
+    RouterFixture router("host-1", 700);
+    setVersion(router, 9);
+    router.start({ endpointAt("c1", "catalogue", closedAddress()) });
+    auto facts = ask(router, {});
+    CHECK(facts.source == "host-1");
+    CHECK(facts.configurationVersion == 9);
+    CHECK(facts.configurationDocument == "9");
+    REQUIRE(facts.endpoints);
+    CHECK(facts.endpoints->size() == 1);
+
+    auto later = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, false });
+    CHECK(later.news >= facts.news);
+    CHECK(!later.configurationDocument);
+    CHECK(!later.endpoints);
+
+    auto restarted = ask(router, { "host-1-before", facts.news, 9, facts.endpointsRevision, false });
+    CHECK_MESSAGE(restarted.endpoints, "the revision is that of another start");
+
+    auto withHeartbeats = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, true });
+    CHECK(withHeartbeats.endpoints);
+}
+
+// Every daemon read the store for itself: 139 of them spent a quarter of a quiet day's worth on calls.
+TEST_CASE("a daemon serves with what another one tells it and does not read the platform")
+{
+    ScriptedServer server([](const std::string& request) { return ownAnswer(request, "200 OK", "ok"); });
+    RouterFixture reader("host-1", 700);
+    setVersion(reader, 9);
+    reader.start({ endpointAt("c1", "catalogue", server.address()) });
+
+    RouterFixture follower("host-2", 100);
+    follower.platform().hosts = { reader.peer(), follower.peer() };
+    follower.start({});
+    CHECK(statusOf(follower.send(requestText("GET", "/cards/1", "r1"))) == 200);
+    CHECK(readsOf(follower) == 0);
+
+    SUBCASE("a change reaches it through the other one")
+    {
+        setVersion(reader, 12);
+        CHECK(RouterFixture::eventually([&] { return ask(follower, {}).configurationVersion == 12; }));
+        CHECK(readsOf(follower) == 0);
+    }
+    SUBCASE("it reads for itself once the other one is gone")
+    {
+        reader.stop();
+        setVersion(follower, 15);
+        CHECK(RouterFixture::eventually([&] { return ask(follower, {}).configurationVersion == 15; }));
+    }
+    SUBCASE("it reads for itself once the other one has lost the platform")
+    {
+        {
+            std::lock_guard lock(reader.platform().mutex);
+            reader.platform().isUp = false;
+        }
+        setVersion(follower, 15);
+        CHECK(RouterFixture::eventually([&] { return ask(follower, {}).configurationVersion == 15; }));
+        CHECK(readsOf(follower) > 0);
+    }
+}
+
+TEST_CASE("a daemon that has a newer configuration than its source keeps it")
+{
+    RouterFixture reader("host-1", 700);
+    setVersion(reader, 9);
+    reader.start({ endpointAt("c1", "catalogue", closedAddress()) });
+
+    RouterFixture follower("host-2", 100);
+    setVersion(follower, 11);
+    follower.start({ endpointAt("c1", "catalogue", closedAddress()) });
+    CHECK(ask(follower, {}).configurationVersion == 11);
+    {
+        std::lock_guard lock(follower.platform().mutex);
+        follower.platform().hosts = { reader.peer(), follower.peer() };
+    }
+    // The host list is read again while the daemon reads for itself.
+    auto reads = readsOf(follower);
+    CHECK(RouterFixture::eventually([&] { return readsOf(follower) > reads + 50; }));
+    CHECK(ask(follower, {}).configurationVersion == 11);
+}
+
+// A source that is frozen accepts connections and says nothing.
+TEST_CASE("a daemon whose source is silent reads for itself")
+{
+    ScriptedServer silent(std::string(), AfterAnswer::Hold);
+    RouterFixture follower("host-2", 100);
+    setVersion(follower, 9);
+    follower.platform().hosts = { { HostId("host-1"), DataCentreId("north"), silent.address(), 700 }, follower.peer() };
+    follower.start({ endpointAt("c1", "catalogue", closedAddress()) });
+    CHECK(ask(follower, {}).configurationVersion == 9);
+    CHECK(readsOf(follower) > 0);
+}
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -21,11 +21,45 @@
 struct PlatformState {
     std::mutex mutex;
     std::shared_ptr<const RoutingConfiguration> configuration;
+    std::shared_ptr<const std::string> document; // Of the configuration, for other daemons.
+    std::vector<PeerHost> hosts; // Daemons that entered themselves.
+    uint32_t configurationReads = 0;
     bool isUp = true; // False: nothing is answered.
     std::vector<router::EndpointSighting> endpoints;
     std::map<std::string, router::EngineReport> reports; // By address.
 };
 
+inline RouteSettings routeOf(const std::string& service, const std::string& prefix, Repeatability repeatability)
+{
+    RouteSettings route;
+    route.route = RouteId("route-" + service);
+    route.host = "desk.example";
+    route.prefix = prefix;
+    route.shares = { { service, 1 } };
+    route.repeatability = repeatability;
+    route.timeout = 5s;
+    route.maxAttempts = repeatability == Repeatability::AtMostOnce ? 1 : 2;
+    return route;
+}
+
+inline RoutingConfiguration sampleConfiguration()
+{
+    RoutingConfiguration configuration;
+    configuration.version = 3;
+    configuration.routes = { routeOf("catalogue", "/loans/", Repeatability::AtMostOnce),
+        routeOf("catalogue", "/cards/", Repeatability::Idempotent),
+        routeOf("assistant", "/ask/", Repeatability::ResumableStream) };
+    ModelLayout model;
+    model.layers = 8;
+    configuration.services = { { "catalogue", std::nullopt }, { "assistant", model } };
+    configuration.workspaces = { WorkspaceId("public"), WorkspaceId("school") };
+    configuration.workspaceByKey = { { "key-1", WorkspaceId("school") } };
+    configuration.limits.maxHeaderBytes = 4096;
+    configuration.limits.maxBodyBytes = 10000;
+    configuration.limits.headerTimeout = 500ms;
+    return configuration;
+}
+
 class MemoryConfigurations final : public router::ConfigurationSource {
 public:
     MemoryConfigurations(PlatformState& state, const Clock& clock, router::net::io_context& io)
@@ -41,9 +75,17 @@
         router::ErrorCode ec;
         co_await m_timer.async_wait(router::awaitInto(ec));
         std::lock_guard lock(m_state.mutex);
+        ++m_state.configurationReads;
         if (!m_state.isUp)
             co_return std::nullopt;
-        co_return router::ConfigurationSighting { m_state.configuration, m_clock.now() };
+        co_return router::ConfigurationSighting { m_state.configuration, m_state.document, m_clock.now() };
+    }
+    // A document of this platform is the configuration's version alone.
+    std::shared_ptr<const RoutingConfiguration> decode(const std::string& document) const override
+    {
+        auto configuration = sampleConfiguration();
+        configuration.version = std::stoull(document);
+        return std::make_shared<const RoutingConfiguration>(configuration);
     }
     Reason lastReason() const override { return { ResultCode::PlatformUnavailable, "down" }; }
 
@@ -73,6 +115,32 @@
     PlatformState& m_state;
 };
 
+class MemoryHosts final : public router::HostRegistry {
+public:
+    explicit MemoryHosts(PlatformState& state)
+        : m_state(state)
+    {
+    }
+
+    router::net::awaitable<std::optional<std::vector<PeerHost>>> list() override
+    {
+        std::lock_guard lock(m_state.mutex);
+        if (!m_state.isUp)
+            co_return std::nullopt;
+        co_return m_state.hosts;
+    }
+    router::net::awaitable<bool> enter(PeerHost host) override
+    {
+        std::lock_guard lock(m_state.mutex);
+        if (m_state.isUp)
+            m_state.hosts.push_back(std::move(host));
+        co_return m_state.isUp;
+    }
+
+private:
+    PlatformState& m_state;
+};
+
 // The lease is never gained, so that the router under test gives no orders.
 class UnavailableLease final : public router::LeaseStore {
 public:
@@ -108,37 +176,6 @@
     PlatformState& m_state;
 };
 
-inline RouteSettings routeOf(const std::string& service, const std::string& prefix, Repeatability repeatability)
-{
-    RouteSettings route;
-    route.route = RouteId("route-" + service);
-    route.host = "desk.example";
-    route.prefix = prefix;
-    route.shares = { { service, 1 } };
-    route.repeatability = repeatability;
-    route.timeout = 5s;
-    route.maxAttempts = repeatability == Repeatability::AtMostOnce ? 1 : 2;
-    return route;
-}
-
-inline RoutingConfiguration sampleConfiguration()
-{
-    RoutingConfiguration configuration;
-    configuration.version = 3;
-    configuration.routes = { routeOf("catalogue", "/loans/", Repeatability::AtMostOnce),
-        routeOf("catalogue", "/cards/", Repeatability::Idempotent),
-        routeOf("assistant", "/ask/", Repeatability::ResumableStream) };
-    ModelLayout model;
-    model.layers = 8;
-    configuration.services = { { "catalogue", std::nullopt }, { "assistant", model } };
-    configuration.workspaces = { WorkspaceId("public"), WorkspaceId("school") };
-    configuration.workspaceByKey = { { "key-1", WorkspaceId("school") } };
-    configuration.limits.maxHeaderBytes = 4096;
-    configuration.limits.maxBodyBytes = 10000;
-    configuration.limits.headerTimeout = 500ms;
-    return configuration;
-}
-
 inline router::EndpointSighting endpointAt(const std::string& name, const std::string& service, std::string address)
 {
     router::EndpointSighting endpoint;
@@ -212,28 +249,34 @@
 
 class RouterFixture {
 public:
-    RouterFixture()
-        : m_journal(m_clock, "host-1", ::open("/dev/null", O_WRONLY | O_CLOEXEC))
+    // linkMbps: of its host, for other daemons; 0: it neither asks nor answers others.
+    explicit RouterFixture(const char* host = "host-1", uint32_t linkMbps = 0)
+        : m_journal(m_clock, host, ::open("/dev/null", O_WRONLY | O_CLOEXEC))
         , m_configurations(m_state, m_clock, m_controlIo)
         , m_endpoints(m_state)
+        , m_hosts(m_state)
         , m_engines(m_state)
-        , m_settings(settings())
+        , m_settings(settings(host, linkMbps))
         , m_control(m_controlIo, m_clock, m_journal, m_metrics, m_settings,
-              { m_configurations, m_endpoints, m_lease, m_engines }, {}, m_age)
+              { m_configurations, m_endpoints, m_hosts, m_lease, m_engines }, leaseOf(host), m_age)
         , m_traffic(m_trafficIo, m_clock, m_journal, m_metrics, m_settings,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
                   [this](const EndpointId& id) { m_control.reportSilent(id); } },
               m_engines, m_age)
+        , m_peers(m_controlIo, [this](std::string target) { return m_control.answerPeer(std::move(target)); })
     {
         m_state.configuration = std::make_shared<const RoutingConfiguration>(sampleConfiguration());
     }
 
-    ~RouterFixture()
+    ~RouterFixture() { stop(); }
+
+    void stop()
     {
         m_controlIo.stop();
         m_trafficIo.stop();
         for (auto& it : m_threads)
             it.join();
+        m_threads.clear();
     }
 
     // Lists the endpoints and returns once the router takes requests.
@@ -242,6 +285,9 @@
         m_state.endpoints = std::move(endpoints);
         auto failure = m_traffic.open();
         REQUIRE_MESSAGE(!failure, (failure ? failure->text : ""));
+        if (!m_settings.peerAddress.empty())
+            failure = m_peers.open(m_settings.peerAddress);
+        REQUIRE_MESSAGE(!failure, (failure ? failure->text : ""));
         m_control.start(m_traffic);
         m_threads.emplace_back([this] { m_controlIo.run(); });
         m_threads.emplace_back([this] { m_trafficIo.run(); });
@@ -271,19 +317,36 @@
     PlatformState& platform() { return m_state; }
     router::Traffic& traffic() { return m_traffic; }
     const router::RouterSettings& routerSettings() const { return m_settings; }
+    PeerHost peer() const
+    {
+        return { m_settings.host, m_settings.dataCentre, m_settings.peerAddress, m_settings.linkMbps };
+    }
 
 private:
-    static router::RouterSettings settings()
+    static std::string freeAddress()
     {
-        router::RouterSettings settings;
-        settings.host = HostId("host-1");
-        settings.dataCentre = DataCentreId("north");
         sockaddr_in name {};
         int socket = listenOnLoopback(name);
         close(socket);
-        settings.frontAddress = addressOf(name);
+        return addressOf(name);
+    }
+    static router::RouterSettings settings(const char* host, uint32_t linkMbps)
+    {
+        router::RouterSettings settings;
+        settings.host = HostId(host);
+        settings.dataCentre = DataCentreId("north");
+        settings.frontAddress = freeAddress();
+        settings.linkMbps = linkMbps;
+        if (linkMbps)
+            settings.peerAddress = freeAddress();
         return settings;
     }
+    static PlannerLeaseConfig leaseOf(const char* host)
+    {
+        PlannerLeaseConfig config;
+        config.holder = host;
+        return config;
+    }
 
     router::BootClock m_clock;
     router::Journal m_journal;
@@ -293,12 +356,14 @@
     router::net::io_context m_trafficIo { 1 };
     MemoryConfigurations m_configurations;
     MemoryEndpoints m_endpoints;
+    MemoryHosts m_hosts;
     UnavailableLease m_lease;
     MemoryEngines m_engines;
     router::RouterSettings m_settings;
     router::ConfigurationAge m_age;
     router::Control m_control;
     router::Traffic m_traffic;
+    router::TextServer m_peers;
     std::vector<std::thread> m_threads;
 };
 
