Take facts only from daemons that read the platform themselves

A daemon sent a request to an endpoint 2,128 ms after the endpoint had said that it leaves. An answered configuration also hid that the list was refused, so that a daemon went on as a reader with an old list.

Ruled out: the interval of the list (0.9 s) and the age at which facts are refused (1.2 s) alone leave 0.3 s to spare.

Change: an answer says whether its daemon reads the platform with success. Others are passed over at once, without a time of own reading, and whether the platform turns a daemon away is kept for each kind of fact. A daemon that is asked while it begins to read waits 0.2 s for its first answer.

--- a/include/spindlecore/FactSources.h
+++ b/include/spindlecore/FactSources.h
@@ -5,6 +5,7 @@
 
 #include "spindlecore/Types.h"
 
+#include <array>
 #include <map>
 #include <string>
 #include <vector>
@@ -20,6 +21,9 @@
     bool operator==(const PeerHost&) const = default;
 };
 
+// What the platform is read for.
+enum class FactKind : uint8_t { Configuration, Endpoints };
+
 // Deterministic and without I/O. Not thread-safe. A wrong choice costs calls and never correctness, since all facts
 // carry their age.
 class FactSources {
@@ -43,9 +47,14 @@
 
     // The source did not answer, or what it said was too old.
     void failed(Instant now, const HostId& source);
+    // The source answered that it does not read the platform itself. Facts that were passed on twice could come back to
+    // the daemon that asked.
+    void declined(Instant now, const HostId& source);
     void answered(const HostId& source) { m_pauses.erase(source); }
     // The platform did or did not answer this daemon.
-    void ownRead(Instant now, bool didAnswer);
+    void ownRead(Instant now, FactKind, bool didAnswer);
+    // The platform did not answer this daemon a short while ago.
+    bool isTurnedAway(Instant now) const;
 
     size_t hosts() const { return m_hosts.size(); }
 
@@ -56,13 +65,14 @@
     };
 
     bool isPaused(Instant now, const HostId&) const;
+    void pause(Instant now, const HostId&);
 
     const HostId m_self;
     const DataCentreId m_dataCentre;
     std::vector<PeerHost> m_hosts; // The own data centre first, then by descending link speed and by name.
     std::map<HostId, Pause> m_pauses;
     Instant m_readsUntil {}; // This daemon reads for itself until then.
-    Instant m_turnedAwayUntil {}; // The platform does not answer this daemon.
+    std::array<Instant, 2> m_turnedAwayUntil {}; // By kind: the platform does not answer this daemon.
 };
 
 } // namespace jacinthspindle
--- a/src/core/membership/FactSources.cpp
+++ b/src/core/membership/FactSources.cpp
@@ -33,17 +33,17 @@
 
 const PeerHost* FactSources::current(Instant now) const
 {
-    bool isTurnedAway = now < m_turnedAwayUntil;
-    if (now < m_readsUntil && !isTurnedAway)
+    bool mayNotRead = isTurnedAway(now);
+    if (now < m_readsUntil && !mayNotRead)
         return nullptr;
     for (const auto& it : m_hosts) {
         if (it.host == m_self) {
-            if (!isTurnedAway)
+            if (!mayNotRead)
                 return nullptr;
             continue;
         }
         // Hosts of other data centres are asked only when the platform does not answer.
-        if (it.dataCentre != m_dataCentre && !isTurnedAway)
+        if (it.dataCentre != m_dataCentre && !mayNotRead)
             return nullptr;
         if (!isPaused(now, it.host))
             return &it;
@@ -51,17 +51,32 @@
     return nullptr;
 }
 
-void FactSources::failed(Instant now, const HostId& source)
+bool FactSources::isTurnedAway(Instant now) const
+{
+    return std::any_of(m_turnedAwayUntil.begin(), m_turnedAwayUntil.end(), [now](Instant it) { return now < it; });
+}
+
+void FactSources::pause(Instant now, const HostId& source)
 {
     auto& pause = m_pauses[source];
     pause.length = std::clamp(pause.length * 2, shortestPause, longestPause);
     pause.until = now + pause.length;
+}
+
+void FactSources::failed(Instant now, const HostId& source)
+{
+    pause(now, source);
     m_readsUntil = now + ownReadingTime;
 }
 
-void FactSources::ownRead(Instant now, bool didAnswer)
+void FactSources::declined(Instant now, const HostId& source)
+{
+    pause(now, source);
+}
+
+void FactSources::ownRead(Instant now, FactKind kind, bool didAnswer)
 {
-    m_turnedAwayUntil = didAnswer ? Instant() : now + ownPause;
+    m_turnedAwayUntil[static_cast<size_t>(kind)] = didAnswer ? Instant() : now + ownPause;
 }
 
 } // namespace jacinthspindle
--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -60,6 +60,7 @@
         Facts facts;
         facts.source = textOf(json, "source");
         facts.news = numberOf<uint64_t>(json, "news");
+        facts.isReader = internal::flagOf(json, "is_reader");
         facts.configurationVersion = numberOf<uint64_t>(json, "configuration_version");
         facts.configurationAge = ageOf(json, "configuration_age_ms");
         if (json.contains("configuration"))
@@ -118,7 +119,7 @@
 
 std::string encodeFacts(const Facts& facts)
 {
-    Json json { { "source", facts.source }, { "news", facts.news },
+    Json json { { "source", facts.source }, { "news", facts.news }, { "is_reader", facts.isReader },
         { "configuration_version", facts.configurationVersion },
         { "configuration_age_ms", encodeAge(facts.configurationAge) },
         { "endpoints_revision", facts.endpointsRevision }, { "endpoints_age_ms", encodeAge(facts.endpointsAge) } };
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -10,6 +10,8 @@
 
     // An answer without news is sent after this time, so that the asking daemon knows that this one lives.
     constexpr milliseconds longestAnswerWait { 500 };
+    // Daemons that lose a common source turn to the next host at the same time as it begins to read.
+    constexpr milliseconds longestReaderWait { 200 };
     // A source without an answer for this long counts as failed. A change of the configuration must be followed within
     // 2 s, also when the source froze right before it.
     constexpr milliseconds askTimeout { 900 };
@@ -65,13 +67,19 @@
         co_await m_change.wait();
 }
 
-void FactSharing::ownRead(bool didAnswer)
+void FactSharing::ownRead(FactKind kind, bool didAnswer)
 {
-    m_sources.ownRead(m_clock.now(), didAnswer);
+    m_sources.ownRead(m_clock.now(), kind, didAnswer);
+    m_hasRead[static_cast<size_t>(kind)] = didAnswer;
     if (didAnswer)
         noteNews();
 }
 
+bool FactSharing::isReadingWell() const
+{
+    return m_isReading && m_hasRead[0] && m_hasRead[1];
+}
+
 void FactSharing::noteNews()
 {
     ++m_news;
@@ -114,6 +122,7 @@
 void FactSharing::setReading(bool isReading, const char* source)
 {
     m_isReading = isReading;
+    m_hasRead = {};
     m_journal.write(LineKind::Info, "facts-source", { { "source", source }, { "hosts", m_sources.hosts() } });
     m_change.notify();
 }
@@ -135,17 +144,18 @@
             m_caller.emplace(m_io.get_executor(), peer.address);
             setReading(false, m_source.c_str());
         }
-        bool isUseful = co_await askPeer(peer);
-        if (!isUseful) {
+        auto outcome = co_await askPeer(peer);
+        if (outcome == PeerAnswer::Failed)
             m_sources.failed(m_clock.now(), peer.host);
-            continue;
-        }
-        m_sources.answered(peer.host);
+        else if (outcome == PeerAnswer::Declined)
+            m_sources.declined(m_clock.now(), peer.host);
+        else
+            m_sources.answered(peer.host);
         co_await sleep(shortestAskInterval);
     }
 }
 
-net::awaitable<bool> FactSharing::askPeer(const PeerHost& peer)
+net::awaitable<FactSharing::PeerAnswer> FactSharing::askPeer(const PeerHost& peer)
 {
     auto question = m_port.ask();
     question.source = m_last.source;
@@ -161,7 +171,7 @@
             { { "source", peer.host.value() }, { "reason", reason },
                 { "configuration_age_ms", facts ? facts->configurationAge.count() : -1 },
                 { "endpoints_age_ms", facts ? facts->endpointsAge.count() : -1 } });
-        return false;
+        return PeerAnswer::Failed;
     };
     if (!reply)
         co_return fail(m_caller->lastReason().text);
@@ -169,6 +179,8 @@
         m_metrics.add(daemon::Counter::PeerMessagesRejected);
         co_return fail("status " + std::to_string(reply->status) + " or malformed");
     }
+    if (!facts->isReader)
+        co_return PeerAnswer::Declined;
     if (std::max(facts->configurationAge, facts->endpointsAge) > longestFactAge)
         co_return fail("old facts");
     if (!m_port.adopt(*facts, askedAt))
@@ -177,7 +189,7 @@
     m_last.news = facts->news;
     m_last.endpointsRevision = facts->endpointsRevision;
     noteNews();
-    co_return true;
+    co_return PeerAnswer::Useful;
 }
 
 net::awaitable<TextAnswer> FactSharing::answer(std::string target)
@@ -189,16 +201,20 @@
     }
     m_metrics.add(daemon::Counter::PeerMessagesReceived);
     bool isOwnAnswer = question->source == m_name;
-    auto until = m_clock.now() + longestAnswerWait;
+    auto askedAt = m_clock.now();
+    while (!isReadingWell() && m_clock.now() < askedAt + longestReaderWait)
+        co_await m_change.wait();
+    auto until = askedAt + longestAnswerWait;
     // A daemon that has just started has nothing to tell yet.
     auto hasNews = [&] { return m_news && (!isOwnAnswer || question->news != m_news); };
-    while (!hasNews() && m_clock.now() < until)
+    while (isReadingWell() && !hasNews() && m_clock.now() < until)
         co_await m_change.wait();
     if (!isOwnAnswer)
         question->endpointsRevision = 0;
     auto facts = m_port.tell(*question);
     facts.source = m_name;
     facts.news = m_news;
+    facts.isReader = isReadingWell();
     co_return TextAnswer { 200, encodeFacts(facts) };
 }
 
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -35,7 +35,7 @@
     bool isReading() const { return m_isReading; }
     net::awaitable<void> untilReading();
     // The platform did or did not answer this daemon.
-    void ownRead(bool didAnswer);
+    void ownRead(FactKind, bool didAnswer);
     // What this daemon knows has changed or was confirmed.
     void noteNews();
 
@@ -46,7 +46,9 @@
     net::awaitable<void> followHosts();
     net::awaitable<bool> enterHosts();
     net::awaitable<void> followPeers();
-    net::awaitable<bool> askPeer(const PeerHost&);
+    enum class PeerAnswer : uint8_t { Useful, Declined, Failed };
+    net::awaitable<PeerAnswer> askPeer(const PeerHost&);
+    bool isReadingWell() const;
     void setReading(bool isReading, const char* source);
     net::awaitable<void> sleep(Duration);
 
@@ -62,6 +64,7 @@
     Broadcast m_change;
     uint64_t m_news = 0;
     bool m_isReading = false;
+    std::array<bool, 2> m_hasRead {}; // By kind: the platform has answered since m_isReading was set.
     std::string m_source; // Host that is asked; empty while this daemon reads the platform itself.
     std::optional<HttpCaller> m_caller; // To m_source.
     FactQuestion m_last; // Source, news and revision of the last answer.
--- a/test/core/FactSourcesTest.cpp
+++ b/test/core/FactSourcesTest.cpp
@@ -70,12 +70,24 @@
     }
 }
 
+// Two daemons that asked each other served from facts that nobody read.
+TEST_CASE("a host that does not read the platform itself is passed over at once")
+{
+    FactSources sources(HostId("n3"), north);
+    sources.adopt(hosts());
+    sources.declined(start, HostId("n2"));
+    CHECK(nameOf(sources.current(start)) == "n1");
+    sources.declined(start, HostId("n1"));
+    CHECK(nameOf(sources.current(start)) == "itself");
+    CHECK(nameOf(sources.current(start + FactSources::shortestPause)) == "n2");
+}
+
 // The platform's store may turn some hosts away while it serves others.
 TEST_CASE("a daemon that the platform turns away asks its data centre, then the others, and then tries for itself")
 {
     FactSources sources(HostId("n2"), north);
     sources.adopt(hosts());
-    sources.ownRead(start, false);
+    sources.ownRead(start, FactKind::Endpoints, false);
     CHECK(nameOf(sources.current(start)) == "n1");
     sources.failed(start, HostId("n1"));
     CHECK(nameOf(sources.current(start)) == "n3");
@@ -91,7 +103,15 @@
     }
     SUBCASE("it reads again once the platform answers")
     {
-        sources.ownRead(start + 1ms, true);
+        sources.ownRead(start + 1ms, FactKind::Endpoints, true);
         CHECK(nameOf(sources.current(start + 1ms)) == "itself");
     }
+    // The answered configuration hid that the list of endpoints was refused, and the daemon went on as a reader.
+    SUBCASE("an answer of the other kind does not end it")
+    {
+        sources.answered(HostId("n1"));
+        sources.ownRead(start + 1ms, FactKind::Configuration, true);
+        CHECK(sources.isTurnedAway(start + 1ms));
+        CHECK(nameOf(sources.current(start + FactSources::shortestPause)) == "itself");
+    }
 }
--- a/test/router/FactRelayTest.cpp
+++ b/test/router/FactRelayTest.cpp
@@ -16,6 +16,7 @@
     Facts facts;
     facts.source = "host-1/17";
     facts.news = 12;
+    facts.isReader = true;
     facts.configurationVersion = 9;
     facts.configurationAge = 340ms;
     facts.configurationDocument = R"({"version":9,"text":"é\n"})";
