Count repetitions per service and window, divided by the number of daemons, and price chains that cross data centres

Each daemon kept a bucket of 10 repetitions and earned 0.4 per request, which was sized for up to 20 daemons.

Ruled out: a smaller bucket for all. Faults break several streams of a daemon at once, and on the small sites a bucket of 10 left most of the allowed repetitions unused.

Change: RetryBudget counts first attempts and repetitions of a service in a sliding window of 10 s, as the platform does. The share and the fixed part come from the settings; the fixed part is divided by the number of daemons in the platform's list of hosts (RetryReserveChanged). A crossing costs 5 ms a token in the chain search, so that a chain crosses only where its data centre lacks a layer or slots. The test of the old bucket is replaced by two: one checks every window of a random load against reserve and share, the other spends and refills the budget.

--- a/include/spindlecore/Decisions.h
+++ b/include/spindlecore/Decisions.h
@@ -124,8 +124,15 @@
     JACINTHSPINDLE_FIELDS(self.number)
 };
 
+// Repetitions in ten seconds that this daemon may send to each service beside the share of first attempts. The platform
+// allows a number for all daemons together.
+struct RetryReserveChanged {
+    uint32_t repetitions = 0;
+    JACINTHSPINDLE_FIELDS(self.repetitions)
+};
+
 using CoreInput = std::variant<RequestArrived, FirstToken, TokensProgressed, AttemptFailed, RequestFinished, CallerGone,
-    LoadReported, CacheChanged, EndpointStateSeen, TableAdopted, ShareChanged, DrainStarted, Tick>;
+    LoadReported, CacheChanged, EndpointStateSeen, TableAdopted, ShareChanged, DrainStarted, Tick, RetryReserveChanged>;
 
 // ---- Decisions.
 
--- a/include/spindlecore/internal/CoreState.h
+++ b/include/spindlecore/internal/CoreState.h
@@ -28,6 +28,7 @@
     uint64_t generation = 0; // Of the endpoint book when the pool was built.
     DispatchGate gate;
     FairQueue queue;
+    RetryBudget retries;
     uint32_t running = 0;
     uint32_t runningLong = 0;
     double slots = 0;
@@ -92,6 +93,7 @@
     void apply(Instant, const EndpointStateSeen&, Decisions&);
     void apply(Instant, const TableAdopted&, Decisions&);
     void apply(Instant, const ShareChanged&, Decisions&);
+    void apply(Instant, const RetryReserveChanged&, Decisions&);
     void apply(Instant, const DrainStarted&, Decisions&);
     void apply(Instant, const Tick&, Decisions&);
     CoreStatus status() const;
@@ -140,7 +142,7 @@
     PrefixIndex m_prefixes;
     LengthModel m_lengths;
     ChainPlanner m_planner;
-    RetryBudget m_retries;
+    double m_retryReserve; // Per pool and window; see RetryBudget.
     uint64_t m_subsetSeed = 0;
     std::map<std::string, std::shared_ptr<PoolState>> m_pools; // By target, version and adapter.
     std::map<RouteId, std::shared_ptr<PoolState>> m_poolOfRoute;
--- a/include/spindlecore/internal/RetryBudget.h
+++ b/include/spindlecore/internal/RetryBudget.h
@@ -5,38 +5,68 @@
 #include "spindlecore/Types.h"
 
 #include <algorithm>
+#include <array>
 
 namespace jacinthspindle::internal {
 
-// Each first attempt earns a fraction of a repetition; a small reserve covers a daemon with little traffic.
+// In any window of time there are at most as many repetitions as a share of the first attempts in it, and a reserve
+// that covers a daemon with little traffic and faults that break many attempts at once.
 class RetryBudget {
 public:
-    // share: repetitions earned per first attempt. reserve: repetitions available at the start.
+    static constexpr Duration window = std::chrono::seconds(10);
+
+    // share: repetitions per first attempt. reserve: repetitions per window beside them.
     RetryBudget(double share, double reserve)
         : m_share(share)
-        , m_limit(std::max(1.0, reserve))
-        , m_balance(m_limit)
+        , m_reserve(reserve)
     {
     }
 
-    void earn() { m_balance = std::min(m_limit, m_balance + m_share); }
+    void setReserve(double reserve) { m_reserve = reserve; }
+
+    void earn(Instant now) { ++slotAt(now).firsts; }
 
     // Takes one repetition; false when the budget is spent.
-    bool take()
+    bool take(Instant now)
     {
-        if (m_balance < 1)
+        auto& slot = slotAt(now);
+        double allowed = m_reserve;
+        double taken = 0;
+        for (const auto& it : m_slots) {
+            if (it.number + slots < slot.number)
+                continue;
+            taken += it.repetitions;
+            // The oldest slot lies in the window only in part.
+            if (it.number + slots > slot.number)
+                allowed += m_share * it.firsts;
+        }
+        if (taken + 1 > allowed)
             return false;
-        m_balance -= 1;
+        ++slot.repetitions;
         return true;
     }
 
-    // Repetitions come back slowly even without first attempts.
-    void refill(double repetitions) { m_balance = std::min(m_limit, m_balance + repetitions); }
-
 private:
+    static constexpr int64_t slots = 10;
+
+    struct Slot {
+        int64_t number = -slots - 1; // Of its part of time.
+        uint32_t firsts = 0;
+        uint32_t repetitions = 0;
+    };
+
+    Slot& slotAt(Instant now)
+    {
+        int64_t number = now.time_since_epoch() / (window / slots);
+        auto& slot = m_slots[static_cast<size_t>(number) % m_slots.size()];
+        if (slot.number != number)
+            slot = { number, 0, 0 };
+        return slot;
+    }
+
     double m_share;
-    double m_limit;
-    double m_balance;
+    double m_reserve;
+    std::array<Slot, slots + 1> m_slots; // By number, modulo their count.
 };
 
 } // namespace jacinthspindle::internal
--- a/src/adapters/TraceText.cpp
+++ b/src/adapters/TraceText.cpp
@@ -106,6 +106,7 @@
                 << it.tokensPerSecond << ", concurrency " << it.concurrency;
         }
         void operator()(const DrainStarted& it) const { out << "drain, refuse new " << (it.refuseNew ? "yes" : "no"); }
+        void operator()(const RetryReserveChanged& it) const { out << "retry reserve " << it.repetitions; }
         void operator()(const Tick& it) const { out << "tick " << it.number; }
         void operator()(const Dispatch& it) const
         {
--- a/src/core/Admission.cpp
+++ b/src/core/Admission.cpp
@@ -264,7 +264,7 @@
     pool.gate.redraw(m_random);
     if (request.isLong)
         pool.longThreshold = uniform(m_random);
-    m_retries.earn();
+    pool.retries.earn(now);
     return Taken::Yes;
 }
 
--- a/src/core/CoreState.cpp
+++ b/src/core/CoreState.cpp
@@ -13,9 +13,8 @@
 
     // Estimate of the number of daemons before there is load to measure.
     constexpr double peersAtStart = 8;
-    constexpr double retryReserve = 10;
-    // Repetitions per second that are earned without traffic.
-    constexpr double retryRefill = 0.5;
+    // Until the owner says how many repetitions the daemon may send.
+    constexpr double retryReserveAtStart = 10;
     constexpr Duration redrawInterval = std::chrono::milliseconds(500);
     constexpr double measureRate = 0.1;
     // A first token later than this multiple of the estimate means that the endpoint was too busy.
@@ -57,7 +56,7 @@
     : m_config(config)
     , m_random(config.seed)
     , m_planner(m_book, m_model, m_prefixes, config.choices)
-    , m_retries(config.retryPercent / 100.0, retryReserve)
+    , m_retryReserve(retryReserveAtStart)
     , m_subsetSeed(config.host.isEmpty() ? config.seed : sha256Prefix64(config.host.value()))
 {
 }
@@ -248,7 +247,7 @@
         code = reached ? ResultCode::OutcomeUnknown : ResultCode::EndpointFailed;
     else if (now >= request->deadline)
         code = ResultCode::DeadlineExceeded;
-    else if (request->attempt >= m_config.maxAttempts || !m_retries.take())
+    else if (request->attempt >= m_config.maxAttempts || !request->pool->retries.take(now))
         code = ResultCode::AttemptsExhausted;
     else if (!dispatch(now, *request, std::max(input.position, request->arrival.firstPosition), false, decisions))
         code = ResultCode::NoChain;
@@ -335,7 +334,8 @@
     for (const auto& route : m_table->routes) {
         auto& pool = m_pools[poolKey(route)];
         if (!pool)
-            pool = std::make_shared<PoolState>(PoolState { route, {}, 0, DispatchGate(peersAtStart), {} });
+            pool = std::make_shared<PoolState>(PoolState { route, {}, 0, DispatchGate(peersAtStart), {},
+                RetryBudget(m_config.retryPercent / 100.0, m_retryReserve) });
         pool->isReferenced = true;
         m_poolOfRoute[route.route] = pool;
     }
@@ -361,6 +361,13 @@
     limits.concurrency = input.concurrency;
 }
 
+void CoreState::apply(Instant, const RetryReserveChanged& input, Decisions&)
+{
+    m_retryReserve = input.repetitions;
+    for (const auto& it : m_pools)
+        it.second->retries.setReserve(m_retryReserve);
+}
+
 void CoreState::apply(Instant, const DrainStarted& input, Decisions&)
 {
     m_refuseNew = m_refuseNew || input.refuseNew;
@@ -370,7 +377,6 @@
 {
     double seconds = m_lastTick == Instant() ? 0 : secondsOf(now - m_lastTick);
     m_lastTick = now;
-    m_retries.refill(retryRefill * seconds);
     bool redraws = now - m_lastRedraw >= redrawInterval;
     if (redraws)
         m_lastRedraw = now;
--- a/src/core/ServiceModel.cpp
+++ b/src/core/ServiceModel.cpp
@@ -22,7 +22,9 @@
     constexpr double greatestRatio = 4;
     // Activations of one token between two stages.
     constexpr double activationBits = 8192 * 8;
-    constexpr double crossDataCentreSeconds = 0.001;
+    // All chains between two data centres share a pipe, which some 60 prompts a second fill. The price makes a chain
+    // cross only where its data centre lacks a layer or the slots for it.
+    constexpr double crossDataCentreSeconds = 0.005;
 
 } // namespace
 
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -2,6 +2,8 @@
 
 #include "router/Control.h"
 
+#include "spindlecore/internal/RetryBudget.h"
+
 namespace jacinthspindle::router {
 
 namespace {
@@ -20,9 +22,22 @@
     // s without an event, and a refusal before that lets them come back.
     constexpr uint32_t queueSharePercent = 4;
 
-    // The platform allows a fixed number of repetitions beside the share of requests: 425 in 10 s, which are more than
-    // two thirds of the users' requests in that time. Up to 20 daemons use no more than this share of it together.
-    constexpr double fixedRetryShare = 0.2;
+    // Daemons that have started since the list of hosts was read share the allowed repetitions as well.
+    constexpr double retryMargin = 0.85;
+
+    // The budget of the core counts in windows of its own length.
+    double retryShareOf(const RouterSettings& settings)
+    {
+        double ratio = std::chrono::duration<double>(settings.retryWindow) / internal::RetryBudget::window;
+        return settings.retryShare * std::min(1.0, ratio);
+    }
+
+    uint32_t retryReserveOf(const RouterSettings& settings, size_t hosts)
+    {
+        double ratio = std::chrono::duration<double>(settings.retryWindow) / internal::RetryBudget::window;
+        double extra = settings.extraRetries / std::max(1.0, ratio);
+        return static_cast<uint32_t>(extra * retryMargin / static_cast<double>(std::max<size_t>(1, hosts)));
+    }
 
     CoreConfig coreConfigOf(const RouterSettings& settings)
     {
@@ -30,7 +45,7 @@
         config.dataCentre = settings.dataCentre;
         config.host = settings.host;
         config.queueSharePercent = queueSharePercent;
-        config.retryPercent = static_cast<uint32_t>((settings.retryShare + fixedRetryShare) * 100);
+        config.retryPercent = static_cast<uint32_t>(retryShareOf(settings) * 100);
         return config;
     }
 
@@ -262,6 +277,18 @@
     }
 }
 
+// Divides the repetitions that all daemons together may send by the number of daemons.
+void Control::shareRetries()
+{
+    auto hosts = m_sharing.hosts();
+    if (!hosts || hosts == m_retryHosts)
+        return;
+    m_retryHosts = hosts;
+    auto reserve = retryReserveOf(m_settings, hosts);
+    m_journal.write(LineKind::Info, "retry-reserve", { { "hosts", hosts }, { "repetitions", reserve } });
+    apply(RetryReserveChanged { reserve });
+}
+
 net::awaitable<void> Control::tick()
 {
     net::steady_timer timer(m_io);
@@ -269,6 +296,7 @@
         timer.expires_after(tickInterval);
         ErrorCode ec;
         co_await timer.async_wait(awaitInto(ec));
+        shareRetries();
         m_planner.setCandidate(m_sharing.isReading() || m_settings.isPreferredPlanner);
         for (const auto& it : m_pauses.takeEnded(m_clock.now()))
             apply(EndpointStateSeen { it, EndpointStateSource::Health, EndpointLife::Serving });
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -49,6 +49,7 @@
     Facts tell(const FactQuestion&) const;
     bool adoptFacts(const Facts&, Instant askedAt);
     void publish();
+    void shareRetries();
     void noteDependency(bool& isUp, bool isUpNow, const char* name, const Reason&);
 
     net::io_context& m_io;
@@ -68,6 +69,7 @@
     std::shared_ptr<const std::string> m_document; // That m_configuration was decoded from.
     std::shared_ptr<const RouteIndex> m_routes; // Of m_configuration.
     Instant m_confirmedAt {}; // When the platform last vouched for m_configuration, or for its absence.
+    size_t m_retryHosts = 0; // Daemons among which the repetitions were last divided.
     uint64_t m_revision = 0; // Of the table in the core.
     uint64_t m_endpointsRevision = 0; // Rises with each change of the endpoints, heartbeats left out.
     bool m_areConfigurationsUp = true; // As last logged.
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -185,6 +185,7 @@
         co_return fail("old facts");
     if (!m_port.adopt(*facts, askedAt))
         co_return fail("facts of no use");
+    m_relayedHosts = facts->hosts;
     m_last.source = facts->source;
     m_last.news = facts->news;
     m_last.endpointsRevision = facts->endpointsRevision;
@@ -215,6 +216,7 @@
     facts.source = m_name;
     facts.news = m_news;
     facts.isReader = isReadingWell();
+    facts.hosts = static_cast<uint32_t>(hosts());
     co_return TextAnswer { 200, encodeFacts(facts) };
 }
 
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -34,6 +34,8 @@
     // True while this daemon reads the platform itself.
     bool isReading() const { return m_isReading; }
     net::awaitable<void> untilReading();
+    // Daemons that entered themselves in the platform's list, as this one or its source last read it; 0: unknown.
+    size_t hosts() const { return std::max(m_sources.hosts(), m_relayedHosts); }
     // The platform did or did not answer this daemon.
     void ownRead(FactKind, bool didAnswer);
     // What this daemon knows has changed or was confirmed.
@@ -67,6 +69,7 @@
     std::array<bool, 2> m_hasRead {}; // By kind: the platform has answered since m_isReading was set.
     std::string m_source; // Host that is asked; empty while this daemon reads the platform itself.
     std::optional<HttpCaller> m_caller; // To m_source.
+    size_t m_relayedHosts = 0; // As the source last told.
     FactQuestion m_last; // Source, news and revision of the last answer.
 };
 
--- a/src/router/RouterSettings.h
+++ b/src/router/RouterSettings.h
@@ -41,6 +41,9 @@
     std::chrono::milliseconds keyRevocationBound { 5000 };
     // Repetitions per first attempt that all daemons together may send to a service.
     double retryShare = 0.2;
+    // Beside this share, per retryWindow.
+    double extraRetries = 0;
+    std::chrono::milliseconds retryWindow { 10000 };
 };
 
 } // namespace jacinthspindle::router
--- a/test/core/RetryBudgetTest.cpp
+++ b/test/core/RetryBudgetTest.cpp
@@ -2,7 +2,9 @@
 
 #include "support/CoreDriver.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <random>
 #include <spindlecore/internal/CircuitBreaker.h>
 #include <spindlecore/internal/RetryBudget.h>
 
@@ -34,20 +36,55 @@
     CHECK(status.repeated <= first / 5 + 10 + 10);
 }
 
-TEST_CASE("the budget earns by first attempts and is bounded")
+// The users' platform counts repetitions in any ten seconds: a bucket that had filled up before overdrew a window.
+TEST_CASE("in any window the repetitions are bounded by the reserve and the share of the first attempts in it")
+{
+    std::mt19937_64 random { 11 };
+    internal::RetryBudget budget(0.2, 4);
+    std::vector<Instant> firsts;
+    std::vector<Instant> repetitions;
+    Instant now { 1h };
+    for (int i = 0; i < 20000; ++i) {
+        now += std::chrono::milliseconds(random() % (i % 4000 < 2000 ? 20 : 400));
+        if (random() % 3 == 0) {
+            budget.earn(now);
+            firsts.push_back(now);
+        } else if (budget.take(now))
+            repetitions.push_back(now);
+    }
+    auto countIn = [](const std::vector<Instant>& times, Instant from, Instant to) {
+        return std::lower_bound(times.begin(), times.end(), to) - std::lower_bound(times.begin(), times.end(), from);
+    };
+    CHECK(repetitions.size() > 1000);
+    for (const auto& first : repetitions) {
+        auto end = first + internal::RetryBudget::window;
+        auto taken = countIn(repetitions, first, end);
+        auto allowed = 4 + 0.2 * static_cast<double>(countIn(firsts, first, end));
+        // The platform counts the first attempts of the window before as well.
+        auto before = 4 + 0.2 * static_cast<double>(countIn(firsts, first - internal::RetryBudget::window, first));
+        REQUIRE(static_cast<double>(taken) <= std::max(allowed, before) + 1);
+    }
+}
+
+TEST_CASE("the budget earns by first attempts, is spent by repetitions, and is whole again after a window")
 {
     internal::RetryBudget budget(0.5, 2);
-    CHECK(budget.take());
-    CHECK(budget.take());
-    CHECK_FALSE(budget.take());
-    budget.earn();
-    CHECK_FALSE(budget.take());
-    budget.earn();
-    CHECK(budget.take());
-    budget.refill(100);
-    CHECK(budget.take());
-    CHECK(budget.take());
-    CHECK_FALSE(budget.take());
+    Instant now { 1h };
+    CHECK(budget.take(now));
+    CHECK(budget.take(now));
+    CHECK_FALSE(budget.take(now));
+    budget.earn(now);
+    CHECK_FALSE(budget.take(now));
+    budget.earn(now);
+    CHECK(budget.take(now));
+    CHECK_FALSE(budget.take(now + 9s));
+    now += 12s;
+    CHECK(budget.take(now));
+    CHECK(budget.take(now));
+    CHECK_FALSE(budget.take(now));
+    budget.setReserve(3);
+    CHECK(budget.take(now));
+    CHECK_FALSE(budget.take(now));
 }
 
 TEST_CASE("a breaker opens after failures, probes once, and closes only after several successes")
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -153,7 +153,7 @@
     const std::string text = R"({"nodeName":"front-1","ip":"10.1.0.40","zone":"z1",
         "listen":{"front":"10.1.0.40:8227","ready":"10.1.0.40:8220","control":"10.1.0.40:8229"},
         "seeds":["10.1.0.40:8229"],"internalPorts":[7340,7355],"limits":{"linkMbps":14.5},
-        "bounds":{"graceS":8,"revokeMs":5000,"budgetRatio":0.2},"platform":{"address":"10.200.1.7:8223"},"new":1})";
+        "bounds":{"graceS":8,"revokeMs":5000,"budgetRatio":0.2,"extraRetries":425,"budgetWindowS":10},"platform":{"address":"10.200.1.7:8223"},"new":1})";
     Reason reason;
     auto settings = platform::decodeSettings(text, reason);
     REQUIRE_MESSAGE(settings, reason.text);
@@ -162,6 +162,8 @@
     CHECK(settings->router.isPreferredPlanner);
     CHECK(settings->router.peerAddress == "10.1.0.40:7340");
     CHECK(settings->router.linkMbps == 14);
+    CHECK(settings->router.extraRetries == 425);
+    CHECK(settings->router.retryWindow == std::chrono::seconds(10));
     CHECK(settings->router.shutdownGrace == std::chrono::seconds(8));
     CHECK(settings->storeAddress == "10.200.1.7:8223");
     CHECK_FALSE(platform::decodeSettings(replaced(text, "\"zone\"", "\"place\""), reason));
--- a/test/router/FactRelayTest.cpp
+++ b/test/router/FactRelayTest.cpp
@@ -17,6 +17,7 @@
     facts.source = "host-1/17";
     facts.news = 12;
     facts.isReader = true;
+    facts.hosts = 13;
     facts.configurationVersion = 9;
     facts.configurationAge = 340ms;
     facts.configurationDocument = R"({"version":9,"text":"é\n"})";
