Bound the time for which a daemon asks hosts that do not read the platform

Change: a daemon that hosts have declined for 0.3 s reads for itself for 2 s before it asks the next one, and a host declines after 0.1 s in place of 0.2 s.

--- a/include/spindlecore/FactSources.h
+++ b/include/spindlecore/FactSources.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,8 @@
     // A source that failed is left alone for this long, doubled with each failure in a row up to the longest pause.
     static constexpr Duration shortestPause = std::chrono::milliseconds(4000);
     static constexpr Duration longestPause = std::chrono::seconds(32);
+    // A daemon that hosts have declined for this long reads for itself, for the same reason.
+    static constexpr Duration longestSearch = std::chrono::milliseconds(300);
     // Between two tries to read the platform while it turns this daemon away and other daemons are asked.
     static constexpr Duration ownPause = std::chrono::milliseconds(1000);
 
@@ -50,7 +53,7 @@
     // The source answered that it does not read the platform itself. Facts that were passed on twice could come back to
     // the daemon that asked.
     void declined(Instant now, const HostId& source);
-    void answered(const HostId& source) { m_pauses.erase(source); }
+    void answered(const HostId& source);
     // The platform did or did not answer this daemon.
     void ownRead(Instant now, FactKind, bool didAnswer);
     // The platform did not answer this daemon a short while ago.
@@ -71,6 +74,7 @@
     const DataCentreId m_dataCentre;
     std::vector<PeerHost> m_hosts; // The own data centre first, then by descending link speed and by name.
     std::map<HostId, Pause> m_pauses;
+    std::optional<Instant> m_declinedSince; // The first host declined since the last answer.
     Instant m_readsUntil {}; // This daemon reads for itself until then.
     std::array<Instant, 2> m_turnedAwayUntil {}; // By kind: the platform does not answer this daemon.
 };
--- a/src/core/membership/FactSources.cpp
+++ b/src/core/membership/FactSources.cpp
@@ -72,6 +72,18 @@
 void FactSources::declined(Instant now, const HostId& source)
 {
     pause(now, source);
+    if (!m_declinedSince)
+        m_declinedSince = now;
+    if (now - *m_declinedSince < longestSearch)
+        return;
+    m_readsUntil = now + ownReadingTime;
+    m_declinedSince.reset();
+}
+
+void FactSources::answered(const HostId& source)
+{
+    m_pauses.erase(source);
+    m_declinedSince.reset();
 }
 
 void FactSources::ownRead(Instant now, FactKind kind, bool didAnswer)
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -11,7 +11,7 @@
     // An answer without news is sent after this time, so that the asking daemon knows that this one lives.
     constexpr milliseconds longestAnswerWait { 500 };
     // Daemons that lose a common source turn to the next host at the same time as it begins to read.
-    constexpr milliseconds longestReaderWait { 200 };
+    constexpr milliseconds longestReaderWait { 100 };
     // A source without an answer for this long counts as failed. A change of the configuration must be followed within
     // 2 s, also when the source froze right before it.
     constexpr milliseconds askTimeout { 900 };
--- a/test/core/FactSourcesTest.cpp
+++ b/test/core/FactSourcesTest.cpp
@@ -82,6 +82,36 @@
     CHECK(nameOf(sources.current(start + FactSources::shortestPause)) == "n2");
 }
 
+// Where the platform turns a third of the hosts away, a daemon asked one of them after the other, for 0.35 s each, and
+// followed a change too late.
+TEST_CASE("a daemon that is declined by one host after the other reads for itself after a bounded time")
+{
+    std::vector<PeerHost> many;
+    for (int i = 10; i < 40; ++i)
+        many.push_back({ HostId("n" + std::to_string(i)), north, "10.1.0.1:7340", 100 });
+    FactSources sources(HostId("n39"), north);
+    sources.adopt(many);
+    auto now = start;
+    const auto* source = sources.current(now);
+    while (source && now < start + 10s) {
+        now += 350ms;
+        sources.declined(now, source->host);
+        source = sources.current(now);
+    }
+    CHECK(now - start <= 1s);
+    SUBCASE("then it asks those that have not declined")
+    {
+        CHECK(nameOf(sources.current(now + FactSources::ownReadingTime)) == "n12");
+    }
+    SUBCASE("an answer starts the time anew")
+    {
+        sources.answered(HostId("n12"));
+        auto later = now + FactSources::ownReadingTime;
+        sources.declined(later, HostId("n12"));
+        CHECK(nameOf(sources.current(later)) == "n13");
+    }
+}
+
 // The platform's store may turn some hosts away while it serves others.
 TEST_CASE("a daemon that the platform turns away asks its data centre, then the others, and then tries for itself")
 {
