--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -52,7 +52,7 @@
 } // namespace
 
 Control::Control(net::io_context& io, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
-    const RouterSettings& settings, ControlPorts ports, PlannerLeaseConfig lease, ConfigurationAge& age)
+    const RouterSettings& settings, ControlPorts ports, const PlannerLeaseConfig& lease, ConfigurationAge& age)
     : m_io(io)
     , m_clock(clock)
     , m_journal(journal)
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -22,7 +22,7 @@
 class Control {
 public:
     Control(net::io_context&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, ControlPorts,
-        PlannerLeaseConfig, ConfigurationAge&);
+        const PlannerLeaseConfig&, ConfigurationAge&);
 
     // traffic must outlive the event loop.
     void start(Traffic& traffic);
