--- a/src/adapters/JsonFields.h
+++ b/src/adapters/JsonFields.h
@@ -45,6 +45,14 @@
     return toNumber<Number>(memberOf(object, name));
 }
 
+inline double realOf(const Json& object, const char* name)
+{
+    const auto& value = memberOf(object, name);
+    if (!value.is_number())
+        throw JsonError(std::string("expected a number: ") + name);
+    return value.get<double>();
+}
+
 inline std::string textOf(const Json& object, const char* name)
 {
     const auto& value = memberOf(object, name);
