Share connecting, number parsing and error answers within the router

Each of these stood twice: connecting to an address (HttpCaller, EndpointPool), looking into a socket without taking bytes (Net, ClientSession), parsing of a number (Net, ClientSession, FactRelay), the router's own error answer (ClientSession, Exchange); and within Exchange the end of a request whose caller left, the delivery of an endpoint's own answer and the check that an answer is the endpoint's own. Each is one function now. The number of endpoints no longer copies all of them, and LayoutPlanner::isHolder(), which nothing called, is gone.

Behaviour is unchanged but for two texts: Retry-After has three decimals in all answers (six before in those of ClientSession, the same value), and the reason for a malformed address of the store names the step 'connect'.

--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -4,8 +4,6 @@
 
 #include "router/Traffic.h"
 
-#include <charconv>
-
 namespace jacinthspindle::router {
 
 namespace {
@@ -23,15 +21,6 @@
     // Reading a response takes no longer than this for a caller that reads at all.
     constexpr milliseconds writeTimeout { 10000 };
 
-    template <typename Number> std::optional<Number> parseNumber(beast::string_view text)
-    {
-        Number value = 0;
-        auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-        if (text.empty() || ec != std::errc() || end != text.data() + text.size())
-            return std::nullopt;
-        return value;
-    }
-
     std::string hostWithoutPort(beast::string_view host)
     {
         return std::string(host.substr(0, host.find(':')));
@@ -170,14 +159,6 @@
 net::awaitable<bool> ClientSession::reject(
     ResultCode code, unsigned status, std::string wireId, std::optional<Duration> retryAfter)
 {
-    http::response<http::string_body> answer { static_cast<http::status>(status), 11 };
-    if (!wireId.empty())
-        answer.set(m_traffic.context().settings.headers.requestId, wireId);
-    if (retryAfter)
-        answer.set(http::field::retry_after, std::to_string(std::chrono::duration<double>(*retryAfter).count()));
-    answer.set(http::field::content_type, "text/plain");
-    answer.body() = std::string(resultName(code)) + "\n";
-    answer.prepare_payload();
     m_traffic.context().metrics.addResult(code);
     auto age = m_traffic.configurationAge();
     m_traffic.context().journal.write(LineKind::Decision, "rejected",
@@ -185,6 +166,7 @@
             { "status", status },
             { "configuration_version", m_traffic.view() ? m_traffic.view()->configuration->version : 0 },
             { "configuration_age_ms", age == Duration::max() ? -1 : millisecondsOf(age) } });
+    auto answer = errorAnswer(m_traffic.context().settings.headers, code, status, wireId, retryAfter);
     co_return co_await sendWhole(std::move(answer));
 }
 
@@ -255,12 +237,7 @@
     if (m_buffer.size())
         return;
     m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange](const ErrorCode& ec) {
-        if (ec)
-            return;
-        char byte = 0;
-        auto n = ::recv(self->m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        bool isOpen = n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
-        if (!isOpen)
+        if (!ec && !isOpen(self->m_stream.socket()))
             exchange->callerGone();
     });
 }
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -25,17 +25,20 @@
     // Daemons that have started since the list of hosts was read share the allowed repetitions as well.
     constexpr double retryMargin = 0.85;
 
-    // The budget of the core counts in windows of its own length.
+    // The budget of the core counts in windows of its own length; returns the platform's in those.
+    double windowRatio(const RouterSettings& settings)
+    {
+        return std::chrono::duration<double>(settings.retryWindow) / internal::RetryBudget::window;
+    }
+
     double retryShareOf(const RouterSettings& settings)
     {
-        double ratio = std::chrono::duration<double>(settings.retryWindow) / internal::RetryBudget::window;
-        return settings.retryShare * std::min(1.0, ratio);
+        return settings.retryShare * std::min(1.0, windowRatio(settings));
     }
 
     uint32_t retryReserveOf(const RouterSettings& settings, size_t hosts)
     {
-        double ratio = std::chrono::duration<double>(settings.retryWindow) / internal::RetryBudget::window;
-        double extra = settings.extraRetries / std::max(1.0, ratio);
+        double extra = settings.extraRetries / std::max(1.0, windowRatio(settings));
         return static_cast<uint32_t>(extra * retryMargin / static_cast<double>(std::max<size_t>(1, hosts)));
     }
 
@@ -268,7 +271,7 @@
     if (hasChanged) {
         ++m_endpointsRevision;
         m_journal.write(LineKind::Info, "endpoints-changed",
-            { { "endpoints", m_directory.endpoints().size() }, { "table_revision", m_revision + 1 } });
+            { { "endpoints", m_directory.size() }, { "table_revision", m_revision + 1 } });
         publish();
     }
     for (const auto& it : m_directory.takeRecovered()) {
--- a/src/router/EndpointDirectory.h
+++ b/src/router/EndpointDirectory.h
@@ -43,6 +43,7 @@
     bool isReplaceable(const EndpointId&, const std::function<bool(const EndpointId&)>& isOut) const;
 
     std::vector<EndpointSighting> endpoints() const;
+    size_t size() const { return m_endpoints.size(); }
     const EndpointSighting* find(const EndpointId&) const;
     Instant updatedAt() const { return m_updatedAt; }
     // When the platform came back from an outage, while entries that lapsed are waited for.
--- a/src/router/EndpointPool.cpp
+++ b/src/router/EndpointPool.cpp
@@ -40,16 +40,10 @@
 net::awaitable<std::unique_ptr<EndpointConnection>> EndpointPool::connect(
     std::string address, std::chrono::milliseconds timeout)
 {
-    auto endpoint = parseAddress(address);
-    if (!endpoint)
-        co_return nullptr;
     auto connection = std::make_unique<EndpointConnection>(m_executor, address);
-    connection->stream.expires_after(timeout);
-    ErrorCode ec;
-    co_await connection->stream.async_connect(*endpoint, awaitInto(ec));
+    auto ec = co_await connectTo(connection->stream, connection->address, timeout);
     if (ec)
         co_return nullptr;
-    tuneSocket(connection->stream.socket());
     co_return connection;
 }
 
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -2,8 +2,6 @@
 
 #include "router/Exchange.h"
 
-#include <cstdio>
-
 namespace jacinthspindle::router {
 
 namespace {
@@ -25,13 +23,6 @@
     // An event of a stream holds a few tokens; only the length estimates of the core use the figure.
     constexpr uint32_t tokensPerEvent = 2;
 
-    std::string secondsText(Duration duration)
-    {
-        char text[32];
-        std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(duration).count());
-        return text;
-    }
-
     bool isSuccess(unsigned status)
     {
         return status >= 200 && status < 300;
@@ -122,12 +113,8 @@
         m_request.promptTokens, m_request.maxTokens, 0, {}, timeLeft() });
     while (true) {
         auto decision = co_await nextDecision();
-        if (m_isCallerGone) {
-            m_context.postInput(CallerGone { m_request.id });
-            m_context.metrics.add(daemon::Counter::CallersGone);
-            finish(ResultCode::CallerGone, 0);
-            co_return ExchangeEnd::CallerLost;
-        }
+        if (m_isCallerGone)
+            co_return endWithoutCaller();
         if (!decision) {
             m_context.postInput(CallerGone { m_request.id });
             co_return co_await giveUp(ResultCode::DeadlineExceeded);
@@ -157,17 +144,10 @@
             finish(ResultCode::Ok, 200);
             co_return isWhole ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
         }
-        auto status = m_answer->result_int();
-        bool isSent = co_await m_sink.sendWhole(std::move(*m_answer));
-        finish(isSuccess(status) ? ResultCode::Ok : ResultCode::EndpointFailed, status);
-        co_return isSent ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
-    }
-    if (m_isCallerGone) {
-        m_context.postInput(CallerGone { m_request.id });
-        m_context.metrics.add(daemon::Counter::CallersGone);
-        finish(ResultCode::CallerGone, 0);
-        co_return ExchangeEnd::CallerLost;
+        co_return co_await sendAnswer();
     }
+    if (m_isCallerGone)
+        co_return endWithoutCaller();
     m_context.metrics.add(daemon::Counter::AttemptsFailed);
     bool repeats = mayRepeat(result);
     note("attempt-failed",
@@ -225,12 +205,8 @@
         finish(code, 200);
         co_return ExchangeEnd::CallerLost;
     }
-    if (m_answer) {
-        auto status = m_answer->result_int();
-        bool isSent = co_await m_sink.sendWhole(std::move(*m_answer));
-        finish(ResultCode::EndpointFailed, status);
-        co_return isSent ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
-    }
+    if (m_answer)
+        co_return co_await sendAnswer();
     bool isLate = timeLeft() <= Duration::zero() || code == ResultCode::DeadlineExceeded;
     if (isLate)
         co_return co_await sendError(ResultCode::DeadlineExceeded, 504, std::nullopt);
@@ -241,15 +217,26 @@
     co_return co_await sendError(code, 503, std::min<Duration>(pause, timeLeft() / retryAfterShare));
 }
 
+ExchangeEnd Exchange::endWithoutCaller()
+{
+    m_context.postInput(CallerGone { m_request.id });
+    m_context.metrics.add(daemon::Counter::CallersGone);
+    finish(ResultCode::CallerGone, 0);
+    return ExchangeEnd::CallerLost;
+}
+
+// Delivers the endpoint's own answer, which may be a failure.
+net::awaitable<ExchangeEnd> Exchange::sendAnswer()
+{
+    auto status = m_answer->result_int();
+    bool isSent = co_await m_sink.sendWhole(std::move(*m_answer));
+    finish(isSuccess(status) ? ResultCode::Ok : ResultCode::EndpointFailed, status);
+    co_return isSent ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
+}
+
 net::awaitable<ExchangeEnd> Exchange::sendError(ResultCode code, unsigned status, std::optional<Duration> retryAfter)
 {
-    http::response<http::string_body> answer { static_cast<http::status>(status), 11 };
-    answer.set(m_context.settings.headers.requestId, m_request.wireId);
-    answer.set(http::field::content_type, "text/plain");
-    if (retryAfter)
-        answer.set(http::field::retry_after, secondsText(*retryAfter));
-    answer.body() = std::string(resultName(code)) + "\n";
-    answer.prepare_payload();
+    auto answer = errorAnswer(m_context.settings.headers, code, status, m_request.wireId, retryAfter);
     finish(code, status);
     bool isSent = co_await m_sink.sendWhole(std::move(answer));
     co_return isSent ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
@@ -413,6 +400,17 @@
     return endpoint ? endpoint->endpoint : EndpointId();
 }
 
+// The signature proves that the endpoint made the answer; its body has no encoding, since none was asked for.
+bool Exchange::isOwnAnswer(const http::response_header<>& header) const
+{
+    return header.count(m_context.settings.headers.signature) && !header.count(http::field::content_encoding);
+}
+
+Exchange::AttemptResult Exchange::notOwnAnswer() const
+{
+    return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "not the endpoint's answer" };
+}
+
 Exchange::AttemptResult Exchange::classify(const http::response_header<>& header, const std::string& body)
 {
     const auto& names = m_context.settings.headers;
@@ -423,8 +421,8 @@
     auto kind = m_request.isModel ? FailureKind::ConnectFailed : FailureKind::Refused;
     if (hasNotRun)
         return { AttemptEnd::NotExecuted, faultOf(header), kind, "not executed" };
-    if (!header.count(names.signature) || header.count(http::field::content_encoding))
-        return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "not the endpoint's answer" };
+    if (!isOwnAnswer(header))
+        return notOwnAnswer();
     http::response<http::string_body> answer;
     answer.base() = forwardResponseHeader(header);
     answer.body() = body;
@@ -470,10 +468,8 @@
     EndpointConnection& connection, Parser& parser, uint32_t attempt)
 {
     const auto header = parser.get().base();
-    const auto& names = m_context.settings.headers;
-    if (!header.count(names.signature) || header.count(http::field::content_encoding))
-        co_return AttemptResult { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken,
-            "not the endpoint's answer" };
+    if (!isOwnAnswer(header))
+        co_return notOwnAnswer();
     std::string events;
     while (!parser.is_done()) {
         auto bytes = co_await readSome(connection, parser);
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -106,6 +106,8 @@
     net::awaitable<AttemptResult> relayStream(EndpointConnection&, Parser&, uint32_t attempt);
     net::awaitable<AttemptResult> takeWhole(EndpointConnection&, Parser&);
     AttemptResult classify(const http::response_header<>&, const std::string& body);
+    bool isOwnAnswer(const http::response_header<>&) const;
+    AttemptResult notOwnAnswer() const;
     AttemptResult broken(const char* detail) const;
     EndpointId faultOf(const http::response_header<>&) const;
     net::awaitable<bool> sendEvents(const http::response_header<>&, const std::string& events, uint32_t attempt);
@@ -116,6 +118,8 @@
     bool maySendTo(const EndpointId&) const;
     Duration timeLeft() const { return m_request.deadline - m_context.clock.now(); }
     void closeConnection();
+    ExchangeEnd endWithoutCaller();
+    net::awaitable<ExchangeEnd> sendAnswer();
     net::awaitable<ExchangeEnd> sendError(ResultCode, unsigned status, std::optional<Duration> retryAfter);
     void note(const char* event, std::vector<LineField> fields);
     void finish(ResultCode, unsigned status);
--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -5,7 +5,6 @@
 #include "adapters/JsonFields.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace jacinthspindle::router {
 
@@ -89,9 +88,9 @@
 
     bool takeNumber(std::string_view& text, uint64_t& number)
     {
-        auto part = takePart(text);
-        auto [end, ec] = std::from_chars(part.data(), part.data() + part.size(), number);
-        return ec == std::errc() && !part.empty() && end == part.data() + part.size();
+        auto parsed = parseNumber<uint64_t>(takePart(text));
+        number = parsed.value_or(0);
+        return parsed.has_value();
     }
 
 } // namespace
--- a/src/router/Headers.cpp
+++ b/src/router/Headers.cpp
@@ -3,6 +3,7 @@
 #include "router/Headers.h"
 
 #include <charconv>
+#include <cstdio>
 
 namespace jacinthspindle::router {
 
@@ -41,6 +42,13 @@
         return http::token_list(fields[http::field::connection]).exists(name);
     }
 
+    std::string secondsText(Duration duration)
+    {
+        char text[32];
+        std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(duration).count());
+        return text;
+    }
+
     template <typename Fields> void copyFields(const http::fields& from, Fields& to)
     {
         for (const auto& it : from) {
@@ -84,6 +92,20 @@
     return out;
 }
 
+http::response<http::string_body> errorAnswer(const HeaderNames& names, ResultCode code, unsigned status,
+    const std::string& wireId, std::optional<Duration> retryAfter)
+{
+    http::response<http::string_body> answer { static_cast<http::status>(status), 11 };
+    if (!wireId.empty())
+        answer.set(names.requestId, wireId);
+    if (retryAfter)
+        answer.set(http::field::retry_after, secondsText(*retryAfter));
+    answer.set(http::field::content_type, "text/plain");
+    answer.body() = std::string(resultName(code)) + "\n";
+    answer.prepare_payload();
+    return answer;
+}
+
 std::optional<std::string> chainText(const RoutingView& view, const Chain& chain)
 {
     std::string text;
--- a/src/router/Headers.h
+++ b/src/router/Headers.h
@@ -25,6 +25,11 @@
 // Copies status and headers of an endpoint's answer, except those that concern one connection.
 http::response_header<> forwardResponseHeader(const http::response_header<>&);
 
+// An answer of the router's own, whose text is the name of the result. wireId: the caller's identifier of the request;
+// empty when it is not known.
+http::response<http::string_body> errorAnswer(
+    const HeaderNames&, ResultCode, unsigned status, const std::string& wireId, std::optional<Duration> retryAfter);
+
 // Text of a chain: IP:port=first-end, with commas between the hops; nothing when an endpoint is not in the view.
 std::optional<std::string> chainText(const RoutingView&, const Chain&);
 
--- a/src/router/HttpCaller.cpp
+++ b/src/router/HttpCaller.cpp
@@ -22,21 +22,11 @@
     if (m_stream && isQuiet(m_stream->socket()))
         co_return true;
     m_stream.reset();
-    auto endpoint = parseAddress(m_address);
-    if (!endpoint) {
-        fail("address", net::error::invalid_argument);
-        co_return false;
-    }
     m_stream.emplace(m_executor);
-    m_stream->expires_after(timeout);
-    ErrorCode ec;
-    co_await m_stream->async_connect(*endpoint, awaitInto(ec));
-    if (ec) {
+    auto ec = co_await connectTo(*m_stream, m_address, timeout);
+    if (ec)
         fail("connect", ec);
-        co_return false;
-    }
-    tuneSocket(m_stream->socket());
-    co_return true;
+    co_return !ec;
 }
 
 net::awaitable<std::optional<HttpReply>> HttpCaller::call(
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -100,7 +100,7 @@
 
 bool LayoutPlanner::isListSettled(Instant now)
 {
-    auto n = m_directory.endpoints().size();
+    auto n = m_directory.size();
     if (m_isSettled || !n)
         return m_isSettled;
     if (!m_listed)
--- a/src/router/LayoutPlanner.h
+++ b/src/router/LayoutPlanner.h
@@ -24,7 +24,6 @@
     void setCandidate(bool isCandidate) { m_isCandidate = isCandidate; }
     // The process ends soon: another daemon is to plan.
     void resign() { m_lease.resign(); }
-    bool isHolder() const { return m_lease.isHolder(m_clock.now()); }
 
 private:
     // An order that was or may have been accepted.
--- a/src/router/Net.cpp
+++ b/src/router/Net.cpp
@@ -2,11 +2,26 @@
 
 #include "router/Net.h"
 
-#include <charconv>
 #include <netinet/tcp.h>
 
 namespace jacinthspindle::router {
 
+namespace {
+
+    enum class Pending : uint8_t { Nothing, Bytes, End };
+
+    // What lies in the socket; it is left there.
+    Pending pendingOn(tcp::socket& socket)
+    {
+        char byte = 0;
+        auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (n > 0)
+            return Pending::Bytes;
+        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Pending::Nothing : Pending::End;
+    }
+
+} // namespace
+
 std::optional<tcp::endpoint> parseAddress(std::string_view text)
 {
     auto colon = text.rfind(':');
@@ -14,12 +29,10 @@
         return std::nullopt;
     ErrorCode ec;
     auto ip = net::ip::make_address(std::string(text.substr(0, colon)), ec);
-    auto digits = text.substr(colon + 1);
-    uint16_t port = 0;
-    auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (ec || parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size())
+    auto port = parseNumber<uint16_t>(text.substr(colon + 1));
+    if (ec || !port)
         return std::nullopt;
-    return tcp::endpoint(ip, port);
+    return tcp::endpoint(ip, *port);
 }
 
 std::string hostOfAddress(const std::string& address)
@@ -44,6 +57,20 @@
     return std::nullopt;
 }
 
+net::awaitable<ErrorCode> connectTo(
+    beast::tcp_stream& stream, const std::string& address, std::chrono::milliseconds timeout)
+{
+    auto endpoint = parseAddress(address);
+    if (!endpoint)
+        co_return net::error::invalid_argument;
+    stream.expires_after(timeout);
+    ErrorCode ec;
+    co_await stream.async_connect(*endpoint, awaitInto(ec));
+    if (!ec)
+        tuneSocket(stream.socket());
+    co_return ec;
+}
+
 void tuneSocket(tcp::socket& socket)
 {
     ErrorCode ignored;
@@ -54,9 +81,12 @@
 
 bool isQuiet(tcp::socket& socket)
 {
-    char byte = 0;
-    auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return pendingOn(socket) == Pending::Nothing;
+}
+
+bool isOpen(tcp::socket& socket)
+{
+    return pendingOn(socket) != Pending::End;
 }
 
 } // namespace jacinthspindle::router
--- a/src/router/Net.h
+++ b/src/router/Net.h
@@ -10,6 +10,7 @@
 
 #include <spindlecore/ResultCode.h>
 
+#include <charconv>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -32,6 +33,16 @@
     return net::redirect_error(net::use_awaitable, ec);
 }
 
+// Nothing when the text is anything but one decimal number in range. Text: std::string_view, or Boost's.
+template <typename Number, typename Text> std::optional<Number> parseNumber(Text text)
+{
+    Number value = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
 // Parses "IP:port". Names are not resolved.
 std::optional<tcp::endpoint> parseAddress(std::string_view text);
 
@@ -45,10 +56,16 @@
 // only by the system's own retransmission limit of many minutes.
 constexpr std::chrono::milliseconds sendTimeout { 4000 };
 
+// Connects to "IP:port" and tunes the socket. The stream's timer is left as it was set for the connection.
+net::awaitable<ErrorCode> connectTo(beast::tcp_stream&, const std::string& address, std::chrono::milliseconds timeout);
+
 // Sets TCP_NODELAY and TCP_USER_TIMEOUT; a failure is of no consequence and is ignored.
 void tuneSocket(tcp::socket&);
 
 // True when the peer has neither closed the connection nor sent bytes that nobody asked for.
 bool isQuiet(tcp::socket&);
 
+// True while the peer has not closed the connection, or bytes that it sent before are still to be read.
+bool isOpen(tcp::socket&);
+
 } // namespace jacinthspindle::router
