Keep an engine's memory with the engine while layers are placed

The memory was looked up by the name of the accelerator in each comparison and sum, and the capacity of an engine by two functions that repeated the lookup. The orders are unchanged.

--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -24,6 +24,7 @@
     struct Engine {
         const PlacedEngine* known = nullptr;
         LayerRange layers; // As known, then as ordered.
+        double memoryMb = 0; // 0 for an unknown kind.
         uint32_t usual = 0; // Layers within weightShare.
         uint32_t extended = 0; // Layers that leave memory for leastTokens.
         bool isOrdered = false;
@@ -33,12 +34,15 @@
         bool isCrowded() const { return covers() && layers.count() > usual; }
     };
 
-    uint32_t capacityWithin(const ModelLayout& model, const std::string& accelerator, double share)
+    double memoryOf(const ModelLayout& model, const std::string& accelerator)
     {
         auto kind = model.kinds.find(accelerator);
-        if (kind == model.kinds.end() || model.layerMb <= 0)
-            return 0;
-        return static_cast<uint32_t>(kind->second.memoryMb * share / model.layerMb);
+        return kind == model.kinds.end() ? 0 : kind->second.memoryMb;
+    }
+
+    uint32_t capacityWithin(const ModelLayout& model, double memoryMb)
+    {
+        return model.layerMb > 0 ? static_cast<uint32_t>(memoryMb / model.layerMb) : 0;
     }
 
     // KV memory that is left beside n layers, in tokens.
@@ -49,21 +53,14 @@
         return perToken > 0 ? free * 1e6 / perToken : 0;
     }
 
-    uint32_t extendedCapacity(const ModelLayout& model, const std::string& accelerator)
+    uint32_t extendedCapacity(const ModelLayout& model, double memoryMb)
     {
-        auto kind = model.kinds.find(accelerator);
-        auto n = capacityWithin(model, accelerator, 1);
-        while (n && tokensBeside(model, kind->second.memoryMb, n) < leastTokens)
+        auto n = capacityWithin(model, memoryMb);
+        while (n && tokensBeside(model, memoryMb, n) < leastTokens)
             --n;
         return n;
     }
 
-    double memoryOf(const ModelLayout& model, const Engine& engine)
-    {
-        auto kind = model.kinds.find(engine.known->accelerator);
-        return kind == model.kinds.end() ? 0 : kind->second.memoryMb;
-    }
-
     std::vector<uint32_t> countCopies(const ModelLayout& model, const std::vector<Engine*>& engines)
     {
         std::vector<uint32_t> copies(model.layers);
@@ -90,7 +87,7 @@
         double memory = 0;
         uint32_t capacity = 0;
         for (const auto* it : engines) {
-            memory += it->extended ? memoryOf(model, *it) : 0;
+            memory += it->extended ? it->memoryMb : 0;
             capacity += it->extended;
         }
         if (capacity < model.layers)
@@ -100,7 +97,7 @@
         uint32_t behind = capacity; // What the engines behind the present one can hold.
         double before = 0;
         for (const auto* it : engines) {
-            before += it->extended ? memoryOf(model, *it) : 0;
+            before += it->extended ? it->memoryMb : 0;
             behind -= it->extended;
             auto end = static_cast<uint32_t>(std::lround(model.layers * before / memory));
             uint32_t least = model.layers > behind ? model.layers - behind : 0;
@@ -112,13 +109,13 @@
     }
 
     // Drops the smallest engines beyond n and keeps the order of the others.
-    void keepLargest(const ModelLayout& model, std::vector<Engine*>& engines, size_t n)
+    void keepLargest(std::vector<Engine*>& engines, size_t n)
     {
         if (engines.size() <= n)
             return;
         auto bySize = engines;
-        std::stable_sort(bySize.begin(), bySize.end(),
-            [&](const Engine* a, const Engine* b) { return memoryOf(model, *a) > memoryOf(model, *b); });
+        std::stable_sort(
+            bySize.begin(), bySize.end(), [](const Engine* a, const Engine* b) { return a->memoryMb > b->memoryMb; });
         bySize.resize(n);
         std::erase_if(engines, [&](Engine* it) { return std::find(bySize.begin(), bySize.end(), it) == bySize.end(); });
     }
@@ -128,7 +125,7 @@
     {
         double memory = 0;
         for (const auto* it : engines)
-            memory += memoryOf(model, *it);
+            memory += it->memoryMb;
         double weights = model.layers * model.layerMb;
         return weights > 0 ? std::max<size_t>(1, static_cast<size_t>(memory * copyShare / weights)) : 1;
     }
@@ -142,7 +139,7 @@
             copies[i % n].push_back(engines[i]);
         std::vector<std::vector<LayerRange>> ranges;
         for (auto& copy : copies) {
-            keepLargest(model, copy, maxChainStages);
+            keepLargest(copy, maxChainStages);
             ranges.push_back(tile(model, copy));
             if (ranges.back().empty())
                 return false;
@@ -170,10 +167,8 @@
     void placeWholeCopies(const ModelLayout& model, std::vector<Engine*> engines)
     {
         // The largest engine comes first: as the head of chains it holds the slots of all their requests.
-        std::sort(engines.begin(), engines.end(), [&](const Engine* a, const Engine* b) {
-            double memoryA = memoryOf(model, *a);
-            double memoryB = memoryOf(model, *b);
-            return memoryA != memoryB ? memoryA > memoryB : a->known->endpoint < b->known->endpoint;
+        std::sort(engines.begin(), engines.end(), [](const Engine* a, const Engine* b) {
+            return a->memoryMb != b->memoryMb ? a->memoryMb > b->memoryMb : a->known->endpoint < b->known->endpoint;
         });
         cutMostCopies(model, engines);
     }
@@ -416,8 +411,9 @@
         std::vector<Engine> engines;
         engines.reserve(known.size());
         for (const auto& it : known) {
-            engines.push_back({ &it, it.layers, capacityWithin(model, it.accelerator, weightShare),
-                extendedCapacity(model, it.accelerator) });
+            auto memoryMb = memoryOf(model, it.accelerator);
+            engines.push_back({ &it, it.layers, memoryMb, capacityWithin(model, memoryMb * weightShare),
+                extendedCapacity(model, memoryMb) });
         }
         return engines;
     }
@@ -434,7 +430,7 @@
 
 uint32_t layerCapacity(const ModelLayout& model, const std::string& accelerator)
 {
-    return capacityWithin(model, accelerator, 1);
+    return capacityWithin(model, memoryOf(model, accelerator));
 }
 
 std::vector<PlacementOrder> planPlacement(
@@ -483,7 +479,7 @@
         for (const auto* it : local) {
             if (!it->covers())
                 continue;
-            double room = tokensBeside(model, memoryOf(model, *it), it->layers.count());
+            double room = tokensBeside(model, it->memoryMb, it->layers.count());
             for (uint32_t layer = it->layers.first; layer < std::min(it->layers.end, model.layers); ++layer)
                 perLayer[layer] += room;
         }
