Keep chains inside one data centre and leave it as a whole

Cause: the search looked at one member of each layer range, and equal ranges of all data centres were one group, so that daemons of all data centres used the same cheapest engines: the busiest head took 35 times the mean, and prompts crossed between data centres at nearly every stage.

Ruled out: a higher price for crossing alone. The first stage has no hop before it, so that the choice of the head stays the same for all daemons.

Change: the pool keeps its members by data centre. A chain is searched in the own data centre, then in the others in random order; only while no data centre can run all layers is it searched over all of them. A data centre that is only full makes a request wait. Three engines of each range enter the search also when there are many ranges.

--- a/include/spindlecore/internal/ChainPlanner.h
+++ b/include/spindlecore/internal/ChainPlanner.h
@@ -26,6 +26,8 @@
     std::vector<uint32_t> boundaries; // Ascending from 0 to layers; a service has only 0.
     std::vector<StageGroup> groups;
     bool isCovered = false; // Every layer is held by some member.
+    // For a model, the same members by data centre, the daemon's own one first. Empty in these parts.
+    std::vector<Pool> dataCentres;
 };
 
 struct SubsetSettings {
@@ -61,7 +63,9 @@
     // choices: candidates per group and decision; 0 looks at all of them.
     ChainPlanner(const EndpointBook&, const ServiceModel&, const PrefixIndex&, uint32_t choices);
 
-    // Returns a plan with an empty chain when no chain covers all layers.
+    // Returns a plan with an empty chain when no chain covers all layers. A chain stays inside one data centre, the own
+    // one where it has room: a prompt's activations fill the pipe between two data centres, while the stream of an
+    // answer is small. Chains cross only while no data centre can run all layers.
     Plan plan(Instant now, const Pool&, const PlanRequest&, std::mt19937_64& random);
 
 private:
@@ -88,6 +92,10 @@
         uint32_t to = 0;
     };
 
+    // A chain over the members of one data centre, or over all of them.
+    Plan planWithin(Instant now, const Pool&, const PlanRequest&, std::mt19937_64& random);
+    // Tries the data centres one after the other, the first one first and the others in random order.
+    Plan planInOne(Instant now, const Pool&, const PlanRequest&, std::mt19937_64& random);
     void collect(Instant now, const Pool&, const PlanRequest&, std::mt19937_64& random);
     bool addCandidate(Instant now, const StageGroup&, EndpointIndex, const PlanRequest&);
     Plan planService(Instant now, const Pool&, const PlanRequest&);
--- a/src/core/ChainPlanner.cpp
+++ b/src/core/ChainPlanner.cpp
@@ -20,7 +20,7 @@
     // Searches for a chain that engines accept; each one costs as much as the first.
     constexpr int maxPriceSteps = 6;
     constexpr double priceGrowth = 4;
-    // Bounds the cost of a decision when ranges overlap in many ways.
+    // Bounds the candidates that holders of a cached prefix add to a decision.
     constexpr size_t maxCandidates = 32;
 
     bool contains(const std::vector<EndpointIndex>* list, EndpointIndex index)
@@ -73,11 +73,10 @@
 void ChainPlanner::collect(Instant now, const Pool& pool, const PlanRequest& request, std::mt19937_64& random)
 {
     m_candidates.clear();
-    size_t share = std::max<size_t>(1, maxCandidates / std::max<size_t>(1, pool.groups.size()));
     for (const auto& group : pool.groups) {
         if (group.members.empty())
             continue;
-        size_t wanted = m_choices ? std::min<size_t>(m_choices, share) : group.members.size();
+        size_t wanted = m_choices ? m_choices : group.members.size();
         size_t start = random() % group.members.size();
         for (size_t i = 0, found = 0; i < group.members.size() && found < wanted; ++i)
             found += addCandidate(now, group, group.members[(start + i) % group.members.size()], request);
@@ -116,9 +115,39 @@
 
 Plan ChainPlanner::plan(Instant now, const Pool& pool, const PlanRequest& request, std::mt19937_64& random)
 {
-    collect(now, pool, request, random);
-    if (pool.kind == RouteKind::Service)
+    if (pool.kind == RouteKind::Service) {
+        collect(now, pool, request, random);
         return planService(now, pool, request);
+    }
+    auto plan = planInOne(now, pool, request, random);
+    if (!plan.chain.empty())
+        return plan;
+    // Where a data centre is only full, waiting for a slot is better than a chain that crosses.
+    auto waiting = request;
+    waiting.needsRoom = false;
+    if (request.needsRoom && !planInOne(now, pool, waiting, random).chain.empty())
+        return {};
+    return planWithin(now, pool, request, random);
+}
+
+Plan ChainPlanner::planInOne(Instant now, const Pool& pool, const PlanRequest& request, std::mt19937_64& random)
+{
+    size_t others = pool.dataCentres.empty() ? 0 : pool.dataCentres.size() - 1;
+    size_t turn = others ? random() % others : 0;
+    for (size_t i = 0; i < pool.dataCentres.size(); ++i) {
+        const auto& part = pool.dataCentres[i ? 1 + (turn + i) % others : 0];
+        if (!part.isCovered)
+            continue;
+        auto plan = planWithin(now, part, request, random);
+        if (!plan.chain.empty())
+            return plan;
+    }
+    return {};
+}
+
+Plan ChainPlanner::planWithin(Instant now, const Pool& pool, const PlanRequest& request, std::mt19937_64& random)
+{
+    collect(now, pool, request, random);
     // A price on each further stage leads to shorter chains; it rises until engines accept the chain.
     double price = 0;
     for (int attempt = 0; attempt < maxPriceSteps; ++attempt) {
--- a/src/core/Pool.cpp
+++ b/src/core/Pool.cpp
@@ -59,45 +59,75 @@
         return !pool.groups.empty() && reached >= pool.layers;
     }
 
+    using MembersByRange = std::map<LayerRange, std::vector<EndpointIndex>>;
+
+    Pool poolOf(RouteKind kind, uint32_t layers, MembersByRange byRange)
+    {
+        Pool pool;
+        pool.kind = kind;
+        pool.layers = layers;
+        pool.boundaries = { 0 };
+        for (const auto& it : byRange) {
+            pool.boundaries.push_back(it.first.first);
+            pool.boundaries.push_back(it.first.end);
+        }
+        if (layers)
+            pool.boundaries.push_back(layers);
+        std::sort(pool.boundaries.begin(), pool.boundaries.end());
+        pool.boundaries.erase(std::unique(pool.boundaries.begin(), pool.boundaries.end()), pool.boundaries.end());
+        for (auto& [range, members] : byRange)
+            pool.groups.push_back(
+                { range, boundaryIndex(pool, range.first), boundaryIndex(pool, range.end), std::move(members) });
+        pool.isCovered = coversAll(pool);
+        return pool;
+    }
+
+    // The members of the pool by data centre, the own one first.
+    std::vector<Pool> partsOf(const Pool& pool, const EndpointBook& book, const DataCentreId& own)
+    {
+        std::map<DataCentreId, MembersByRange> byDataCentre;
+        for (const auto& group : pool.groups) {
+            for (auto index : group.members)
+                byDataCentre[book[index].row.dataCentre][group.layers].push_back(index);
+        }
+        std::vector<Pool> parts;
+        auto local = byDataCentre.extract(own);
+        // Without own endpoints an empty part stands first.
+        parts.push_back(poolOf(pool.kind, pool.layers, local ? std::move(local.mapped()) : MembersByRange()));
+        for (auto& it : byDataCentre)
+            parts.push_back(poolOf(pool.kind, pool.layers, std::move(it.second)));
+        return parts;
+    }
+
 } // namespace
 
 Pool buildPool(const EndpointBook& book, const RouteRow& route, const SubsetSettings& settings)
 {
-    Pool pool;
-    pool.kind = route.kind;
-    pool.layers = route.kind == RouteKind::Model ? route.layers : 0;
     struct Members {
         std::vector<EndpointIndex> local;
         std::vector<EndpointIndex> remote;
     };
+    uint32_t layers = route.kind == RouteKind::Model ? route.layers : 0;
     std::map<LayerRange, Members> byRange;
     for (EndpointIndex i = 0; i < book.size(); ++i) {
         const auto& row = book[i].row;
         if (!book[i].mayServe() || !serves(row, route))
             continue;
-        auto layers
-            = pool.layers ? LayerRange { row.layers.first, std::min(row.layers.end, pool.layers) } : LayerRange {};
-        auto& members = byRange[layers];
+        auto range = layers ? LayerRange { row.layers.first, std::min(row.layers.end, layers) } : LayerRange {};
+        auto& members = byRange[range];
         (row.dataCentre == settings.dataCentre ? members.local : members.remote).push_back(i);
     }
-    pool.boundaries = { 0 };
-    for (const auto& it : byRange) {
-        pool.boundaries.push_back(it.first.first);
-        pool.boundaries.push_back(it.first.end);
-    }
-    if (pool.layers)
-        pool.boundaries.push_back(pool.layers);
-    std::sort(pool.boundaries.begin(), pool.boundaries.end());
-    pool.boundaries.erase(std::unique(pool.boundaries.begin(), pool.boundaries.end()), pool.boundaries.end());
-    for (auto& [layers, members] : byRange) {
+    MembersByRange kept;
+    for (auto& [range, members] : byRange) {
         keepBest(members.local, settings.localPerGroup, book, settings.seed);
         size_t missing = settings.localPerGroup - members.local.size();
         keepBest(members.remote, settings.remotePerGroup + missing, book, settings.seed);
-        StageGroup group { layers, boundaryIndex(pool, layers.first), boundaryIndex(pool, layers.end), members.local };
-        group.members.insert(group.members.end(), members.remote.begin(), members.remote.end());
-        pool.groups.push_back(std::move(group));
+        auto& all = kept[range] = std::move(members.local);
+        all.insert(all.end(), members.remote.begin(), members.remote.end());
     }
-    pool.isCovered = coversAll(pool);
+    auto pool = poolOf(route.kind, layers, std::move(kept));
+    if (layers)
+        pool.dataCentres = partsOf(pool, book, settings.dataCentre);
     return pool;
 }
 
--- a/test/core/ChainPlannerTest.cpp
+++ b/test/core/ChainPlannerTest.cpp
@@ -162,6 +162,57 @@
     }
 }
 
+// 34 GB of activations crossed between data centres on a quiet day, because all data centres shared one group of each
+// layer range and the choice looked at one member of it.
+TEST_CASE("a chain stays in the own data centre though others hold the same layers, and leaves it as a whole")
+{
+    std::vector<EndpointRow> rows;
+    constexpr uint32_t stages = 20;
+    for (uint32_t i = 0; i < stages; ++i) {
+        for (const char* dataCentre : { "north", "south", "west" })
+            rows.push_back(test::engineRow(dataCentre + std::to_string(i), { i * 2, i * 2 + 2 }, dataCentre));
+    }
+    auto dataCentresOf = [](const Table& table, const Chain& chain) {
+        std::set<DataCentreId> used;
+        for (const auto& hop : chain)
+            used.insert(table.findEndpoint(hop.endpoint)->dataCentre);
+        return used;
+    };
+    SUBCASE("the own data centre is whole")
+    {
+        Fixture fixture(tableOf(rows, stages * 2), 3);
+        for (int i = 0; i < 50; ++i)
+            CHECK(dataCentresOf(fixture.table, fixture.plan().chain) == std::set { DataCentreId("north") });
+    }
+    SUBCASE("the own data centre lacks a stage")
+    {
+        std::erase_if(rows, [](const auto& row) { return row.endpoint == EndpointId("north7"); });
+        Fixture fixture(tableOf(rows, stages * 2), 3);
+        std::set<DataCentreId> used;
+        for (int i = 0; i < 50; ++i) {
+            auto chain = fixture.plan().chain;
+            auto once = dataCentresOf(fixture.table, chain);
+            CHECK(once.size() == 1);
+            used.merge(once);
+        }
+        CHECK(used == std::set { DataCentreId("south"), DataCentreId("west") });
+    }
+    SUBCASE("no data centre is whole")
+    {
+        for (const char* lost : { "north7", "south3", "west5" })
+            std::erase_if(rows, [&](const auto& row) { return row.endpoint == EndpointId(lost); });
+        Fixture fixture(tableOf(rows, stages * 2), 3);
+        CHECK(test::coversOnce(fixture.plan().chain, stages * 2, fixture.table));
+    }
+    SUBCASE("the own data centre is full")
+    {
+        Fixture fixture(tableOf(rows, stages * 2), 3);
+        fixture.book.report(start, LoadReported { EndpointId("north0"), 4, 0, 0ms });
+        CHECK(dataCentresOf(fixture.table, fixture.plan().chain).size() == 1);
+        CHECK_FALSE(names(fixture.plan().chain, "north0"));
+    }
+}
+
 TEST_CASE("an endpoint that is measured as slow is avoided, though only whole chains are measured")
 {
     Fixture fixture(tableOf({ test::engineRow("front-a", { 0, 6 }), test::engineRow("front-b", { 0, 6 }),
