Let all daemons of a data centre know the load of its engines

Cause: a daemon counted its own attempts alone, so that 20 or 60 daemons with the same model took one head of chains for idle until its slots and its queue were full. KV memory and the declared times of the engines played no part.

Weighed: reports of the engines, read by each daemon (a probe for each engine and daemon); a fixed share of the slots for each daemon (wastes the slots of daemons with little traffic); counts carried in the exchange that exists. The last one costs no further message. Without news a daemon takes its own attempts times the number of daemons, so that it is not optimistic because it is blind.

Change: - Questions between daemons carry the asker's attempts by engine, and answers the sum of the data centre (LoadLedger in the core). A reader gives none while it has not heard from most daemons of its data centre. - The other daemons are taken to have added as many attempts since the news as this one (EndpointBook::outstanding); of a few free slots each daemon takes its part by chance. Expected times vary at random by 15 %, and an engine above 70 % of its slots costs up to the time of a request. - Engine times (step, per sequence, context, reading) are decoded once and given to the service model by kind of accelerator. The slots of an engine are the requests that its KV memory holds; the declared slots bound heads only.

A failed try, reverted: sending an idempotent call that failed twice back to an endpoint that had it before.

--- a/include/spindlecore/DecisionCore.h
+++ b/include/spindlecore/DecisionCore.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "spindlecore/Decisions.h"
+#include "spindlecore/LoadLedger.h"
 #include "spindlecore/Types.h"
 
 #include <memory>
@@ -61,6 +62,9 @@
 
     CoreStatus status() const;
 
+    // Engines at which attempts of this daemon run, for the other daemons of its data centre.
+    std::vector<EndpointLoad> ownLoad() const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/include/spindlecore/Decisions.h
+++ b/include/spindlecore/Decisions.h
@@ -131,8 +131,29 @@
     JACINTHSPINDLE_FIELDS(self.repetitions)
 };
 
+// Seconds for one layer of a kind of accelerator, as the operators declare them.
+struct AcceleratorTimes {
+    std::string accelerator;
+    double prefill = 0; // Per prompt token.
+    double decode = 0; // Per token step.
+    double perSequence = 0; // Added to a token step for each request that generates.
+    JACINTHSPINDLE_FIELDS(self.accelerator, self.prefill, self.decode, self.perSequence)
+};
+
+struct AcceleratorsDeclared {
+    std::vector<AcceleratorTimes> accelerators;
+    JACINTHSPINDLE_FIELDS(self.accelerators)
+};
+
+// Daemons of the own data centre, this one included, that send to the same engines.
+struct PeersCounted {
+    uint32_t daemons = 1;
+    JACINTHSPINDLE_FIELDS(self.daemons)
+};
+
 using CoreInput = std::variant<RequestArrived, FirstToken, TokensProgressed, AttemptFailed, RequestFinished, CallerGone,
-    LoadReported, CacheChanged, EndpointStateSeen, TableAdopted, ShareChanged, DrainStarted, Tick, RetryReserveChanged>;
+    LoadReported, CacheChanged, EndpointStateSeen, TableAdopted, ShareChanged, DrainStarted, Tick, RetryReserveChanged,
+    AcceleratorsDeclared, PeersCounted>;
 
 // ---- Decisions.
 
--- a/include/spindlecore/FactSources.h
+++ b/include/spindlecore/FactSources.h
@@ -60,6 +60,8 @@
     bool isTurnedAway(Instant now) const;
 
     size_t hosts() const { return m_hosts.size(); }
+    // Of the own data centre.
+    size_t localHosts() const;
 
 private:
     struct Pause {
--- a/include/spindlecore/RoutingConfiguration.h
+++ b/include/spindlecore/RoutingConfiguration.h
@@ -47,7 +47,14 @@
     double readPace = 1; // Time of prompt processing relative to the reference accelerator.
 };
 
-// What is needed to place the layers of a model on engines.
+// Times of the reference accelerator for all layers of a model, as the operators declare them. Zero: not declared.
+struct EngineTimes {
+    std::chrono::duration<double> step {}; // One token step, whatever runs.
+    std::chrono::duration<double> perSequence {}; // Added to a step for each request that generates.
+    std::chrono::duration<double> perPromptToken {}; // Reading of a prompt.
+};
+
+// What is needed to place the layers of a model on engines and to choose among them.
 struct ModelLayout {
     uint32_t layers = 0;
     double layerMb = 0;
@@ -55,6 +62,11 @@
     std::chrono::milliseconds loadTime { 0 }; // Of the whole model on one engine.
     uint32_t loadsAtOnce = 1; // Loads that run at full speed at the same time.
     std::map<std::string, AcceleratorKind> kinds;
+    EngineTimes times;
+    uint32_t usualTokens = 0; // Prompt and answer of the usual request together; 0: not declared.
+
+    // KV memory that an accelerator has beside this many layers, in tokens of a request that passes through them.
+    double tokensBeside(const AcceleratorKind&, uint32_t heldLayers) const;
 };
 
 struct ServiceSettings {
--- a/include/spindlecore/internal/ChainPlanner.h
+++ b/include/spindlecore/internal/ChainPlanner.h
@@ -11,6 +11,12 @@
 
 namespace jacinthspindle::internal {
 
+// Maps a random number to [0, 1); std distributions differ between standard libraries.
+inline double uniform(std::mt19937_64& random)
+{
+    return static_cast<double>(random() >> 11) / 9007199254740992.0;
+}
+
 // The endpoints of a subset that hold the same layers.
 struct StageGroup {
     LayerRange layers;
@@ -97,7 +103,7 @@
     // Tries the data centres one after the other, the first one first and the others in random order.
     Plan planInOne(Instant now, const Pool&, const PlanRequest&, std::mt19937_64& random);
     void collect(Instant now, const Pool&, const PlanRequest&, std::mt19937_64& random);
-    bool addCandidate(Instant now, const StageGroup&, EndpointIndex, const PlanRequest&);
+    bool addCandidate(Instant now, const StageGroup&, EndpointIndex, const PlanRequest&, std::mt19937_64& random);
     Plan planService(Instant now, const Pool&, const PlanRequest&);
     // stagePrice: seconds that a chain is charged for each stage after the first.
     Plan search(const Pool&, const PlanRequest&, double stagePrice);
--- a/include/spindlecore/internal/CoreState.h
+++ b/include/spindlecore/internal/CoreState.h
@@ -94,9 +94,12 @@
     void apply(Instant, const TableAdopted&, Decisions&);
     void apply(Instant, const ShareChanged&, Decisions&);
     void apply(Instant, const RetryReserveChanged&, Decisions&);
+    void apply(Instant, const AcceleratorsDeclared&, Decisions&);
+    void apply(Instant, const PeersCounted&, Decisions&);
     void apply(Instant, const DrainStarted&, Decisions&);
     void apply(Instant, const Tick&, Decisions&);
     CoreStatus status() const;
+    std::vector<EndpointLoad> ownLoad() const;
 
 private:
     using Requests = std::map<RequestId, ActiveRequest>;
--- a/include/spindlecore/internal/DispatchGate.h
+++ b/include/spindlecore/internal/DispatchGate.h
@@ -49,10 +49,4 @@
     double m_threshold = 0.5; // Uniform in [0, 1).
 };
 
-// Maps a random number to [0, 1); std distributions differ between standard libraries.
-inline double uniform(std::mt19937_64& random)
-{
-    return static_cast<double>(random() >> 11) / 9007199254740992.0;
-}
-
 } // namespace jacinthspindle::internal
--- a/include/spindlecore/internal/EndpointBook.h
+++ b/include/spindlecore/internal/EndpointBook.h
@@ -5,6 +5,7 @@
 #include "spindlecore/Decisions.h"
 #include "spindlecore/internal/CircuitBreaker.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <map>
@@ -64,6 +65,13 @@
     static constexpr Duration maxReportAge = std::chrono::seconds(3);
     bool hasFreshReport(Instant now, const EndpointEntry&) const;
 
+    // Daemons of the data centre. Without a report, each of them is taken to have as many attempts at an engine as this
+    // one: a daemon that hears nothing must not take crowded engines for idle ones.
+    void setPeers(uint32_t daemons) { m_peers = std::max(1U, daemons); }
+    uint32_t peers() const { return m_peers; }
+    // Index of a kind of accelerator.
+    uint32_t kindOf(const std::string& accelerator);
+
     // Attempts of all daemons that are believed to be at the endpoint.
     double outstanding(Instant now, const EndpointEntry&) const;
     // Further attempts that the endpoint can run at once; may be negative.
@@ -74,7 +82,6 @@
 
 private:
     EndpointIndex freeEntry();
-    uint32_t kindOf(const std::string& accelerator);
 
     std::vector<EndpointEntry> m_entries;
     std::vector<EndpointIndex> m_free;
@@ -83,6 +90,7 @@
     // States of endpoints that are not in the table (yet).
     std::map<EndpointId, std::array<EndpointLife, 3>> m_unknown;
     uint64_t m_generation = 0;
+    uint32_t m_peers = 1;
 };
 
 } // namespace jacinthspindle::internal
--- a/include/spindlecore/internal/ServiceModel.h
+++ b/include/spindlecore/internal/ServiceModel.h
@@ -12,10 +12,14 @@
 struct LayerTime {
     double prefill = 0; // Per prompt token.
     double decode = 0; // Per generated token.
+    double perSequence = 0; // Added per generated token for each other request; 0: not known.
 };
 
 class ServiceModel {
 public:
+    // Replaces the estimate for a kind of accelerator.
+    void declare(uint32_t kind, const LayerTime& time) { timeOf(kind) = time; }
+
     // Expected time of one layer at the endpoint.
     LayerTime layerTime(const EndpointEntry&) const;
     // Seconds per token between two neighbours in a chain.
--- a/src/adapters/TraceText.cpp
+++ b/src/adapters/TraceText.cpp
@@ -107,6 +107,11 @@
         }
         void operator()(const DrainStarted& it) const { out << "drain, refuse new " << (it.refuseNew ? "yes" : "no"); }
         void operator()(const RetryReserveChanged& it) const { out << "retry reserve " << it.repetitions; }
+        void operator()(const AcceleratorsDeclared& it) const
+        {
+            out << "times of " << it.accelerators.size() << " kinds of accelerators";
+        }
+        void operator()(const PeersCounted& it) const { out << "daemons of the data centre " << it.daemons; }
         void operator()(const Tick& it) const { out << "tick " << it.number; }
         void operator()(const Dispatch& it) const
         {
--- a/src/core/ChainPlanner.cpp
+++ b/src/core/ChainPlanner.cpp
@@ -10,8 +10,13 @@
 
 namespace {
 
-    // A full batch is taken to be slower than an empty one by this ratio.
+    // A full batch is taken to be slower than an empty one by this ratio, where nothing is declared.
     constexpr double batchSlowdown = 0.5;
+    // An engine with more than this share of its slots taken soon preempts requests or lets them wait, and costs up to
+    // the time of a whole request.
+    constexpr double crowdedShare = 0.7;
+    // Random part of an engine's expected time, so that daemons with the same news do not all choose the same engine.
+    constexpr double choiceSpread = 0.15;
     // Seconds for which an attempt holds a slot, for the wait at an endpoint without room.
     constexpr double typicalHold = 4;
     constexpr double clashWeight = 3;
@@ -39,13 +44,17 @@
 {
 }
 
-bool ChainPlanner::addCandidate(Instant now, const StageGroup& group, EndpointIndex index, const PlanRequest& request)
+bool ChainPlanner::addCandidate(
+    Instant now, const StageGroup& group, EndpointIndex index, const PlanRequest& request, std::mt19937_64& random)
 {
     const auto& entry = m_book[index];
     if (!entry.mayServe() || !entry.breaker.mayTry(now) || contains(request.avoid, index))
         return false;
     double room = m_book.room(now, entry);
-    if (request.needsRoom && room < 1)
+    // A slot that an own attempt left is certain; the other daemons see the other free slots as well.
+    bool isOwnSlot = entry.own < entry.ownAtReport;
+    double contenders = isOwnSlot || entry.row.kind != EndpointKind::Engine ? 1 : m_book.peers();
+    if (request.needsRoom && room < std::max(1.0, contenders * uniform(random)))
         return false;
     for (const auto& it : m_candidates) {
         if (it.index == index)
@@ -59,13 +68,14 @@
     candidate.group = &group;
     if (request.prefixDigests)
         candidate.uncached = 1 - m_prefixes.expectedShare(index, *request.prefixDigests);
-    double slowdown = 1 + batchSlowdown * load;
+    double slowdown = time.perSequence > 0 ? 1 + time.perSequence * std::max(0.0, slots - room) / time.decode
+                                           : 1 + batchSlowdown * load;
+    slowdown *= 1 + choiceSpread * uniform(random);
     candidate.prefill = request.promptTokens * candidate.uncached * time.prefill * slowdown;
     candidate.decode = time.decode * slowdown;
-    // A slot that an own attempt left is certain; another daemon may take one of a few others at the same time.
-    bool isOwnSlot = entry.own < entry.ownAtReport;
     double clash = isOwnSlot ? 0 : clashWeight / std::max(1.0, room);
-    candidate.wait = (std::max(0.0, 1 - room) + clash) * typicalHold / slots;
+    double crowding = std::max(0.0, load - crowdedShare) / (1 - crowdedShare);
+    candidate.wait = (std::max(0.0, 1 - room) + clash) * typicalHold / slots + crowding * crowding * typicalHold;
     m_candidates.push_back(candidate);
     return true;
 }
@@ -79,7 +89,7 @@
         size_t wanted = m_choices ? m_choices : group.members.size();
         size_t start = random() % group.members.size();
         for (size_t i = 0, found = 0; i < group.members.size() && found < wanted; ++i)
-            found += addCandidate(now, group, group.members[(start + i) % group.members.size()], request);
+            found += addCandidate(now, group, group.members[(start + i) % group.members.size()], request, random);
     }
     if (!request.prefixDigests || request.prefixDigests->empty())
         return;
@@ -87,7 +97,7 @@
         for (const auto& group : pool.groups) {
             bool isMember = std::find(group.members.begin(), group.members.end(), holder) != group.members.end();
             if (isMember && m_candidates.size() < maxCandidates)
-                addCandidate(now, group, holder, request);
+                addCandidate(now, group, holder, request, random);
         }
     }
 }
--- a/src/core/CoreState.cpp
+++ b/src/core/CoreState.cpp
@@ -368,6 +368,17 @@
         it.second->retries.setReserve(m_retryReserve);
 }
 
+void CoreState::apply(Instant, const AcceleratorsDeclared& input, Decisions&)
+{
+    for (const auto& it : input.accelerators)
+        m_model.declare(m_book.kindOf(it.accelerator), { it.prefill, it.decode, it.perSequence });
+}
+
+void CoreState::apply(Instant, const PeersCounted& input, Decisions&)
+{
+    m_book.setPeers(input.daemons);
+}
+
 void CoreState::apply(Instant, const DrainStarted& input, Decisions&)
 {
     m_refuseNew = m_refuseNew || input.refuseNew;
@@ -414,6 +425,17 @@
     }
 }
 
+std::vector<EndpointLoad> CoreState::ownLoad() const
+{
+    std::vector<EndpointLoad> load;
+    for (EndpointIndex i = 0; i < m_book.size(); ++i) {
+        const auto& entry = m_book[i];
+        if (entry.own && entry.isInTable && entry.row.kind == EndpointKind::Engine)
+            load.push_back({ entry.row.endpoint, entry.own });
+    }
+    return load;
+}
+
 CoreStatus CoreState::status() const
 {
     auto status = m_status;
--- a/src/core/DecisionCore.cpp
+++ b/src/core/DecisionCore.cpp
@@ -23,6 +23,11 @@
     std::visit([&](const auto& it) { m_impl->apply(now, it, decisions); }, input);
 }
 
+std::vector<EndpointLoad> DecisionCore::ownLoad() const
+{
+    return m_impl->ownLoad();
+}
+
 CoreStatus DecisionCore::status() const
 {
     return m_impl->status();
--- a/src/core/EndpointBook.cpp
+++ b/src/core/EndpointBook.cpp
@@ -151,10 +151,13 @@
 
 double EndpointBook::outstanding(Instant now, const EndpointEntry& entry) const
 {
+    bool isShared = entry.row.kind == EndpointKind::Engine;
     if (!hasFreshReport(now, entry))
-        return entry.own;
+        return static_cast<double>(entry.own) * (isShared ? m_peers : 1);
     uint32_t others = entry.reported > entry.ownAtReport ? entry.reported - entry.ownAtReport : 0;
-    return static_cast<double>(others) + entry.own;
+    // The other daemons are taken to have added as many attempts since the report as this one.
+    uint32_t added = isShared && entry.own > entry.ownAtReport ? entry.own - entry.ownAtReport : 0;
+    return static_cast<double>(others) + entry.own + static_cast<double>(added) * (m_peers - 1);
 }
 
 double EndpointBook::room(Instant now, const EndpointEntry& entry) const
--- a/src/core/membership/FactSources.cpp
+++ b/src/core/membership/FactSources.cpp
@@ -25,6 +25,12 @@
     m_hosts = std::move(hosts);
 }
 
+size_t FactSources::localHosts() const
+{
+    return static_cast<size_t>(std::count_if(
+        m_hosts.begin(), m_hosts.end(), [this](const PeerHost& it) { return it.dataCentre == m_dataCentre; }));
+}
+
 bool FactSources::isPaused(Instant now, const HostId& host) const
 {
     auto it = m_pauses.find(host);
--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -45,12 +45,9 @@
         return model.layerMb > 0 ? static_cast<uint32_t>(memoryMb / model.layerMb) : 0;
     }
 
-    // KV memory that is left beside n layers, in tokens.
     double tokensBeside(const ModelLayout& model, double memoryMb, uint32_t n)
     {
-        double free = std::max(0.0, memoryMb - n * model.layerMb);
-        double perToken = model.tokenKvBytes / model.layers * n;
-        return perToken > 0 ? free * 1e6 / perToken : 0;
+        return model.tokensBeside({ memoryMb }, n);
     }
 
     uint32_t extendedCapacity(const ModelLayout& model, double memoryMb)
--- a/src/core/routing/RoutingConfiguration.cpp
+++ b/src/core/routing/RoutingConfiguration.cpp
@@ -8,6 +8,14 @@
 
 namespace jacinthspindle {
 
+double ModelLayout::tokensBeside(const AcceleratorKind& kind, uint32_t heldLayers) const
+{
+    constexpr double bytesPerMb = 1e6;
+    double free = std::max(0.0, kind.memoryMb - heldLayers * layerMb);
+    double perToken = layers ? tokenKvBytes / layers * heldLayers : 0;
+    return perToken > 0 ? free * bytesPerMb / perToken : 0;
+}
+
 const ServiceSettings* RoutingConfiguration::findService(std::string_view name) const
 {
     auto it = std::find_if(services.begin(), services.end(), [&](const auto& service) { return service.name == name; });
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -17,6 +17,8 @@
     constexpr milliseconds firstListInterval { 250 };
     constexpr milliseconds retryInterval { 250 };
     constexpr milliseconds tickInterval { 100 };
+    // A daemon that reads the platform itself takes over the load that others told it every this many ticks.
+    constexpr uint32_t loadTicks = 3;
 
     // Part of the deadline that a request may wait for a slot: 0.8 s of a stream's 20 s. Callers leave a stream after 2
     // s without an event, and a refusal before that lets them come back.
@@ -71,6 +73,7 @@
                   FactQuestion question;
                   question.configurationVersion = m_configuration ? m_configuration->version : 0;
                   question.wantsHeartbeats = m_directory.hasSilent();
+                  question.load = m_core.ownLoad();
                   return question;
               },
               [this](const Facts& facts, Instant askedAt) { return adoptFacts(facts, askedAt); } })
@@ -211,6 +214,9 @@
         adoptEndpoints(m_directory.adopt(updatedAt, *facts.endpoints, returnedAt));
     else
         m_directory.confirm(updatedAt);
+    // The answer counts this daemon's attempts as they were when it asked.
+    if (facts.load)
+        adoptLoad(*facts.load, askedAt);
     return true;
 }
 
@@ -224,6 +230,7 @@
     m_document = document;
     m_routes = std::make_shared<const RouteIndex>(*m_configuration);
     m_planner.adopt(m_configuration);
+    declareAccelerators();
     m_metrics.add(daemon::Counter::TablesAdopted);
     m_journal.write(LineKind::Info, "configuration-adopted",
         { { "version", m_configuration->version }, { "routes", m_configuration->routes.size() },
@@ -292,6 +299,47 @@
     apply(RetryReserveChanged { reserve });
 }
 
+void Control::countPeers()
+{
+    auto peers = m_sharing.peers();
+    if (!peers || peers == m_peers)
+        return;
+    m_peers = peers;
+    m_journal.write(LineKind::Info, "peers-counted", { { "daemons", peers } });
+    apply(PeersCounted { static_cast<uint32_t>(peers) });
+}
+
+void Control::adoptLoad(const std::vector<EndpointLoad>& load, Instant measuredAt)
+{
+    std::unordered_map<EndpointId, uint32_t> running;
+    for (const auto& it : load)
+        running.emplace(it.endpoint, it.running);
+    auto age = m_clock.now() - measuredAt;
+    for (const auto& it : m_directory.endpoints()) {
+        // What the daemons of other data centres send to their own engines is not known here.
+        if (it.dataCentre != m_settings.dataCentre || !it.layers.count())
+            continue;
+        auto found = running.find(it.endpoint);
+        apply(LoadReported { it.endpoint, found == running.end() ? 0 : found->second, 0, age });
+    }
+}
+
+void Control::declareAccelerators()
+{
+    AcceleratorsDeclared declared;
+    for (const auto& service : m_configuration->services) {
+        if (!service.model || !service.model->layers || service.model->times.step.count() <= 0)
+            continue;
+        const auto& times = service.model->times;
+        double layers = service.model->layers;
+        for (const auto& [name, kind] : service.model->kinds)
+            declared.accelerators.push_back({ name, times.perPromptToken.count() * kind.readPace / layers,
+                times.step.count() * kind.pace / layers, times.perSequence.count() * kind.pace / layers });
+    }
+    if (!declared.accelerators.empty())
+        apply(declared);
+}
+
 net::awaitable<void> Control::tick()
 {
     net::steady_timer timer(m_io);
@@ -300,6 +348,11 @@
         ErrorCode ec;
         co_await timer.async_wait(awaitInto(ec));
         shareRetries();
+        countPeers();
+        if (number % loadTicks == 0) {
+            if (auto load = m_sharing.load())
+                adoptLoad(*load, m_clock.now());
+        }
         m_planner.setCandidate(m_sharing.isReading() || m_settings.isPreferredPlanner);
         for (const auto& it : m_pauses.takeEnded(m_clock.now()))
             apply(EndpointStateSeen { it, EndpointStateSource::Health, EndpointLife::Serving });
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -31,7 +31,7 @@
     void resign() { m_planner.resign(); }
 
     // Answers another daemon; see FactSharing.
-    net::awaitable<TextAnswer> answerPeer(std::string target) { return m_sharing.answer(std::move(target)); }
+    net::awaitable<TextAnswer> answerPeer(TextRequest request) { return m_sharing.answer(std::move(request)); }
 
     // Thread-safe.
     void postInput(CoreInput);
@@ -50,6 +50,10 @@
     bool adoptFacts(const Facts&, Instant askedAt);
     void publish();
     void shareRetries();
+    void countPeers();
+    // Attempts of all daemons of the data centre at its engines, as they were at measuredAt.
+    void adoptLoad(const std::vector<EndpointLoad>&, Instant measuredAt);
+    void declareAccelerators();
     void noteDependency(bool& isUp, bool isUpNow, const char* name, const Reason&);
 
     net::io_context& m_io;
@@ -70,6 +74,7 @@
     std::shared_ptr<const RouteIndex> m_routes; // Of m_configuration.
     Instant m_confirmedAt {}; // When the platform last vouched for m_configuration, or for its absence.
     size_t m_retryHosts = 0; // Daemons among which the repetitions were last divided.
+    size_t m_peers = 0; // As the core was last told.
     uint64_t m_revision = 0; // Of the table in the core.
     uint64_t m_endpointsRevision = 0; // Rises with each change of the endpoints, heartbeats left out.
     bool m_areConfigurationsUp = true; // As last logged.
--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -54,6 +54,25 @@
         return static_cast<uint32_t>(std::clamp<int64_t>(age.count(), 0, std::numeric_limits<uint32_t>::max()));
     }
 
+    Json encodeLoad(const std::vector<EndpointLoad>& load)
+    {
+        auto list = Json::array();
+        for (const auto& it : load)
+            list.push_back(Json::array({ it.endpoint.value(), it.running }));
+        return list;
+    }
+
+    std::vector<EndpointLoad> decodeLoad(const Json& json)
+    {
+        std::vector<EndpointLoad> load;
+        for (const auto& it : internal::listOf(json, "load")) {
+            if (!it.is_array() || it.size() != 2)
+                throw internal::JsonError("expected the load of an endpoint");
+            load.push_back({ EndpointId(it[0].get<std::string>()), internal::toNumber<uint16_t>(it[1]) });
+        }
+        return load;
+    }
+
     Facts decode(const Json& json)
     {
         Facts facts;
@@ -74,6 +93,9 @@
         }
         if (json.contains("returned_since_ms"))
             facts.returnedSince = ageOf(json, "returned_since_ms");
+        facts.peers = numberOf<uint32_t>(json, "peers");
+        if (json.contains("load"))
+            facts.load = decodeLoad(json);
         return facts;
     }
 
@@ -102,7 +124,13 @@
         + (question.wantsHeartbeats ? "1/" : "0/") + question.source;
 }
 
-std::optional<FactQuestion> decodeQuestion(std::string_view target)
+std::string encodeOwnLoad(const FactQuestion& question)
+{
+    Json json { { "asker", question.asker }, { "load", encodeLoad(question.load) } };
+    return internal::dumpJson(json).value_or(std::string());
+}
+
+std::optional<FactQuestion> decodeQuestion(std::string_view target, std::string_view body)
 {
     if (!target.starts_with(questionPath))
         return std::nullopt;
@@ -114,13 +142,19 @@
         return std::nullopt;
     question.wantsHeartbeats = wantsHeartbeats != 0;
     question.source = std::string(target);
-    return question;
+    if (body.empty())
+        return question;
+    return internal::decodeJson(body, [&](const Json& json) {
+        question.asker = textOf(json, "asker");
+        question.load = decodeLoad(json);
+        return question;
+    });
 }
 
 std::string encodeFacts(const Facts& facts)
 {
     Json json { { "source", facts.source }, { "news", facts.news }, { "is_reader", facts.isReader },
-        { "hosts", facts.hosts }, { "configuration_version", facts.configurationVersion },
+        { "hosts", facts.hosts }, { "peers", facts.peers }, { "configuration_version", facts.configurationVersion },
         { "configuration_age_ms", encodeAge(facts.configurationAge) },
         { "endpoints_revision", facts.endpointsRevision }, { "endpoints_age_ms", encodeAge(facts.endpointsAge) } };
     if (facts.configurationDocument)
@@ -132,6 +166,8 @@
     }
     if (facts.returnedSince)
         json["returned_since_ms"] = encodeAge(*facts.returnedSince);
+    if (facts.load)
+        json["load"] = encodeLoad(*facts.load);
     // Names that are not UTF-8 were refused when the platform's answers were decoded.
     return internal::dumpJson(json).value_or(std::string());
 }
--- a/src/router/FactRelay.h
+++ b/src/router/FactRelay.h
@@ -13,6 +13,8 @@
     uint64_t configurationVersion = 0;
     uint64_t endpointsRevision = 0;
     bool wantsHeartbeats = false; // Send the endpoints also when nothing but their heartbeats has changed.
+    std::string asker; // Names the start of the asking daemon; empty: it tells no load.
+    std::vector<EndpointLoad> load; // Engines at which attempts of the asking daemon run.
     bool operator==(const FactQuestion&) const = default;
 };
 
@@ -29,13 +31,18 @@
     std::optional<std::vector<EndpointSighting>> endpoints; // Only when the asker has another list.
     // Time since the platform came back from an outage, while entries that lapsed are waited for.
     std::optional<std::chrono::milliseconds> returnedSince;
+    uint32_t peers = 0; // Daemons of the answering daemon's data centre in the platform's list; 0: unknown.
+    // Attempts of all daemons of the data centre, by engine, without those that have none. Nothing while the answering
+    // daemon has not heard from most of them.
+    std::optional<std::vector<EndpointLoad>> load;
     bool operator==(const Facts&) const = default;
 };
 
-// The target of the question's GET request.
+// The target of the question's request, and its body.
 std::string encodeQuestion(const FactQuestion&);
-// Nothing when the target is not that of a question.
-std::optional<FactQuestion> decodeQuestion(std::string_view target);
+std::string encodeOwnLoad(const FactQuestion&);
+// Nothing when the target is not that of a question or the body is malformed. A body is optional.
+std::optional<FactQuestion> decodeQuestion(std::string_view target, std::string_view body = {});
 std::string encodeFacts(const Facts&);
 std::optional<Facts> decodeFacts(std::string_view text);
 
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -25,6 +25,8 @@
     constexpr milliseconds registryInterval { 3000 };
     constexpr milliseconds longestRegistryInterval { 30000 };
     constexpr milliseconds sourceCheckInterval { 100 };
+    // Each daemon of the data centre has told its load after this time: an answer takes 0.5 s at most.
+    constexpr milliseconds loadCollectionTime { 700 };
     // Between two questions, so that a source that always has news is not asked all the time.
     constexpr milliseconds shortestAskInterval { 50 };
 
@@ -122,6 +124,7 @@
 void FactSharing::setReading(bool isReading, const char* source)
 {
     m_isReading = isReading;
+    m_readingSince = m_clock.now();
     m_hasRead = {};
     m_journal.write(LineKind::Info, "facts-source", { { "source", source }, { "hosts", m_sources.hosts() } });
     m_change.notify();
@@ -161,8 +164,10 @@
     question.source = m_last.source;
     question.news = m_last.news;
     question.endpointsRevision = m_last.endpointsRevision;
+    question.asker = m_name;
     auto askedAt = m_clock.now();
-    auto reply = co_await m_caller->call(http::verb::get, encodeQuestion(question), {}, askTimeout);
+    auto reply
+        = co_await m_caller->call(http::verb::post, encodeQuestion(question), encodeOwnLoad(question), askTimeout);
     std::optional<Facts> facts;
     if (reply && reply->status == 200)
         facts = decodeFacts(reply->body);
@@ -186,6 +191,7 @@
     if (!m_port.adopt(*facts, askedAt))
         co_return fail("facts of no use");
     m_relayedHosts = facts->hosts;
+    m_relayedPeers = facts->peers;
     m_last.source = facts->source;
     m_last.news = facts->news;
     m_last.endpointsRevision = facts->endpointsRevision;
@@ -193,14 +199,31 @@
     co_return PeerAnswer::Useful;
 }
 
-net::awaitable<TextAnswer> FactSharing::answer(std::string target)
+std::optional<std::vector<EndpointLoad>> FactSharing::load()
 {
-    auto question = decodeQuestion(target);
-    if (!question) {
-        m_metrics.add(daemon::Counter::PeerMessagesRejected);
+    auto now = m_clock.now();
+    if (!isReadingWell() || now - m_readingSince < loadCollectionTime)
+        return std::nullopt;
+    m_ledger.tell(now, m_name, m_port.ask().load);
+    if (m_ledger.daemons(now) * 2 < m_sources.localHosts())
+        return std::nullopt;
+    return m_ledger.sum(now);
+}
+
+std::optional<FactQuestion> FactSharing::receive(const TextRequest& request)
+{
+    auto question = decodeQuestion(request.target, request.body);
+    m_metrics.add(question ? daemon::Counter::PeerMessagesReceived : daemon::Counter::PeerMessagesRejected);
+    if (question && !question->asker.empty())
+        m_ledger.tell(m_clock.now(), question->asker, question->load);
+    return question;
+}
+
+net::awaitable<TextAnswer> FactSharing::answer(TextRequest request)
+{
+    auto question = receive(request);
+    if (!question)
         co_return TextAnswer { 404, {} };
-    }
-    m_metrics.add(daemon::Counter::PeerMessagesReceived);
     bool isOwnAnswer = question->source == m_name;
     auto askedAt = m_clock.now();
     while (!isReadingWell() && m_clock.now() < askedAt + longestReaderWait)
@@ -217,6 +240,8 @@
     facts.news = m_news;
     facts.isReader = isReadingWell();
     facts.hosts = static_cast<uint32_t>(hosts());
+    facts.peers = static_cast<uint32_t>(peers());
+    facts.load = load();
     co_return TextAnswer { 200, encodeFacts(facts) };
 }
 
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -41,13 +41,20 @@
     // What this daemon knows has changed or was confirmed.
     void noteNews();
 
+    // Daemons of the own data centre, this one included; 0: unknown.
+    size_t peers() const { return std::max(m_sources.localHosts(), m_relayedPeers); }
+    // Attempts of all daemons of the data centre, as they told this one. Nothing while this daemon does not read the
+    // platform well, or has not heard from most of them.
+    std::optional<std::vector<EndpointLoad>> load();
+
     // Answers another daemon as soon as there is news for it, or after a while.
-    net::awaitable<TextAnswer> answer(std::string target);
+    net::awaitable<TextAnswer> answer(TextRequest);
 
 private:
     net::awaitable<void> followHosts();
     net::awaitable<bool> enterHosts();
     net::awaitable<void> followPeers();
+    std::optional<FactQuestion> receive(const TextRequest&);
     enum class PeerAnswer : uint8_t { Useful, Declined, Failed };
     net::awaitable<PeerAnswer> askPeer(const PeerHost&);
     bool isReadingWell() const;
@@ -70,6 +77,9 @@
     std::string m_source; // Host that is asked; empty while this daemon reads the platform itself.
     std::optional<HttpCaller> m_caller; // To m_source.
     size_t m_relayedHosts = 0; // As the source last told.
+    size_t m_relayedPeers = 0; // As the source last told.
+    LoadLedger m_ledger;
+    Instant m_readingSince {}; // Valid while m_isReading.
     FactQuestion m_last; // Source, news and revision of the last answer.
 };
 
--- a/src/router/RoutingView.cpp
+++ b/src/router/RoutingView.cpp
@@ -10,6 +10,8 @@
 
     // Engines of one data centre are joined by links so fast that the accelerators bound the time of a token.
     constexpr uint32_t engineLinkMbps = 100000;
+    // Bounds the requests at a stage with much memory; the time of a step rises with each of them.
+    constexpr double mostStreams = 1000;
     // Callers state their own bound; the core clamps it to this.
     constexpr uint32_t mostTokens = 2048;
 
@@ -24,6 +26,21 @@
         return row;
     }
 
+    // Requests that an engine can run at once. Its own slots count only for chains that begin with it; what passes
+    // through another stage takes memory alone.
+    uint32_t slotsOf(const EndpointSighting& sighting, const ServiceSettings& service)
+    {
+        uint32_t declared = std::max(1U, sighting.slots);
+        if (!service.model || !service.model->usualTokens)
+            return declared;
+        auto kind = service.model->kinds.find(sighting.accelerator);
+        if (kind == service.model->kinds.end())
+            return declared;
+        double tokens = service.model->tokensBeside(kind->second, sighting.layers.count());
+        auto inMemory = static_cast<uint32_t>(std::clamp(tokens / service.model->usualTokens, 1.0, mostStreams));
+        return sighting.layers.first ? inMemory : std::min(declared, inMemory);
+    }
+
     EndpointRow endpointRowOf(const EndpointSighting& sighting, const ServiceSettings& service)
     {
         EndpointRow row;
@@ -34,7 +51,7 @@
         row.layers = service.model ? sighting.layers : LayerRange {};
         row.address = sighting.address;
         row.accelerator = sighting.accelerator;
-        row.slots = std::max(1U, sighting.slots);
+        row.slots = slotsOf(sighting, service);
         row.linkMbps = engineLinkMbps;
         row.state = sighting.isLeaving ? AdminState::Draining : AdminState::Active;
         return row;
--- a/src/router/TextServer.cpp
+++ b/src/router/TextServer.cpp
@@ -13,7 +13,7 @@
 
 TextHandler immediately(std::function<TextAnswer()> answer)
 {
-    return [answer = std::move(answer)](std::string) -> net::awaitable<TextAnswer> { co_return answer(); };
+    return [answer = std::move(answer)](TextRequest) -> net::awaitable<TextAnswer> { co_return answer(); };
 }
 
 TextServer::TextServer(net::io_context& io, TextHandler handler)
@@ -60,7 +60,8 @@
         co_await http::async_read(stream, buf, request, awaitInto(ec));
         if (ec)
             co_return;
-        auto answer = co_await m_handler(std::string(request.target()));
+        TextRequest asked { std::string(request.target()), std::move(request.body()) };
+        auto answer = co_await m_handler(std::move(asked));
         stream.expires_after(idleTimeout);
         http::response<http::string_body> response { static_cast<http::status>(answer.status), 11 };
         response.set(http::field::content_type, "text/plain; version=0.0.4");
--- a/src/router/TextServer.h
+++ b/src/router/TextServer.h
@@ -16,10 +16,14 @@
     std::string text;
 };
 
-// Makes the answer to a request for the target.
-using TextHandler = std::function<net::awaitable<TextAnswer>(std::string target)>;
+struct TextRequest {
+    std::string target;
+    std::string body;
+};
+
+using TextHandler = std::function<net::awaitable<TextAnswer>(TextRequest)>;
 
-// A handler that needs neither the target nor time.
+// A handler that needs neither the request nor time.
 TextHandler immediately(std::function<TextAnswer()> answer);
 
 // Belongs to one event loop; the handler runs on it.
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -118,7 +118,7 @@
         , m_metricsServer(m_controlIo, router::immediately([this] {
             return router::TextAnswer { 200, m_metrics.prometheusText() };
         }))
-        , m_peers(m_controlIo, [this](std::string target) { return m_control.answerPeer(std::move(target)); })
+        , m_peers(m_controlIo, [this](router::TextRequest request) { return m_control.answerPeer(std::move(request)); })
         , m_signals(m_controlIo, SIGTERM, SIGINT, SIGHUP)
     {
         m_metrics.addGauge("log_lines_suppressed", "Log lines that were left out since the start",
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -17,7 +17,8 @@
 {"name":"r-2","host":"h.example","prefix":"/b/","routeKind":"non_idempotent","timeoutMs":1000,"targetLatencyMs":150,
  "priority":2,"service":"s2","maxAttempts":1,"public":true}],
 "services":[{"name":"s1","healthPath":"/healthz","maxConnections":2444,"engine":{"slots":192,"tokenKvBytes":590000,
- "models":[{"name":"m","pace":1.0,"loadS":14.0,"warmS":1.0}],"loads_at_once":6,"layers":80,"layerMb":1750.0,
+ "models":[{"name":"m","pace":1.0,"loadS":14.0,"warmS":1.0}],"loads_at_once":6,"step_ms":0.85,"per_seq_ms":0.002,
+ "context_per_k":0.004,"read_per_s":272000.0,"usual":{"prompt":800,"answer":100},"layers":80,"layerMb":1750.0,
  "kinds":[{"name":"h100","mb":72000.0,"pace":1.4,"readX":1.0}]}},
  {"name":"s2","healthPath":"/healthz","maxConnections":208}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
@@ -54,12 +55,29 @@
     CHECK(configuration->services[0].model->layers == 80);
     CHECK(configuration->services[0].model->loadTime == std::chrono::seconds(14));
     CHECK(configuration->services[0].model->kinds.at("h100").memoryMb == 72000);
+    const auto& times = configuration->services[0].model->times;
+    CHECK(times.step == std::chrono::duration<double>(0.00085));
+    CHECK(times.perPromptToken.count() == doctest::Approx(1 / 272000.0));
+    // 0.002 ms for each sequence, and 0.004 ms for each thousand tokens of its context.
+    CHECK(times.perSequence.count() == doctest::Approx(0.000002 + 0.000004 * 0.850));
+    CHECK(configuration->services[0].model->usualTokens == 900);
     CHECK_FALSE(configuration->services[1].model);
     CHECK(configuration->limits.idleTimeout == std::chrono::seconds(15));
     CHECK(configuration->workspaceByKey.at("k2") == WorkspaceId("t1"));
     CHECK(configuration->workspaceByKey.size() == 2);
 }
 
+TEST_CASE("a model whose engine times are not declared is decoded without them")
+{
+    auto text = replaced(configurationText, R"("step_ms":0.85,"per_seq_ms":0.002,)", "");
+    text = replaced(text, R"("context_per_k":0.004,"read_per_s":272000.0,"usual":{"prompt":800,"answer":100},)", "");
+    auto configuration = platform::decodeConfiguration(text);
+    REQUIRE(configuration);
+    REQUIRE(configuration->services[0].model);
+    CHECK(configuration->services[0].model->times.step.count() == 0);
+    CHECK(configuration->services[0].model->usualTokens == 0);
+}
+
 TEST_CASE("a configuration with a missing or wrong member is refused as a whole")
 {
     for (const char* member : { "\"version\":7", "\"prefix\":\"/a/\"", "\"maxAttempts\":2", "\"limits\"", "\"layerMb\"",
--- a/test/router/FactRelayTest.cpp
+++ b/test/router/FactRelayTest.cpp
@@ -36,6 +36,8 @@
     endpoint.heartbeats = 77;
     facts.endpoints = { endpoint };
     facts.returnedSince = 1500ms;
+    facts.peers = 5;
+    facts.load = { { EndpointId("i-1@1700000000000"), 12 } };
     return facts;
 }
 
@@ -46,8 +48,8 @@
     auto facts = sampleFacts();
     CHECK(decodeFacts(encodeFacts(facts)) == facts);
     CHECK(decodeFacts(encodeFacts(Facts {})) == Facts {});
-    FactQuestion question { "host-1/17", 12, 9, 4, true };
-    CHECK(decodeQuestion(encodeQuestion(question)) == question);
+    FactQuestion question { "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } } };
+    CHECK(decodeQuestion(encodeQuestion(question), encodeOwnLoad(question)) == question);
     CHECK(decodeQuestion(encodeQuestion({})) == FactQuestion {});
 }
 
@@ -58,6 +60,12 @@
         CAPTURE(target);
         CHECK(!decodeQuestion(target));
     }
+    auto target = encodeQuestion({});
+    for (const char* body : { "{", R"({"asker":"a"})", R"({"asker":"a","load":[["e",-1]]})",
+             R"({"asker":"a","load":[["e"]]})", R"({"asker":7,"load":[]})", R"({"asker":"a","load":[["e",1e9]]})" }) {
+        CAPTURE(body);
+        CHECK(!decodeQuestion(target, body));
+    }
     auto text = encodeFacts(sampleFacts());
     for (const char* bad : { "", "{}", "[]", "null", "{\"source\":1}" }) {
         CAPTURE(bad);
--- a/test/router/FactSharingTest.cpp
+++ b/test/router/FactSharingTest.cpp
@@ -47,15 +47,15 @@
     REQUIRE(facts.endpoints);
     CHECK(facts.endpoints->size() == 1);
 
-    auto later = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, false });
+    auto later = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, false, {}, {} });
     CHECK(later.news >= facts.news);
     CHECK(!later.configurationDocument);
     CHECK(!later.endpoints);
 
-    auto restarted = ask(router, { "host-1-before", facts.news, 9, facts.endpointsRevision, false });
+    auto restarted = ask(router, { "host-1-before", facts.news, 9, facts.endpointsRevision, false, {}, {} });
     CHECK_MESSAGE(restarted.endpoints, "the revision is that of another start");
 
-    auto withHeartbeats = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, true });
+    auto withHeartbeats = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, true, {}, {} });
     CHECK(withHeartbeats.endpoints);
 }
 
@@ -128,3 +128,35 @@
     CHECK(ask(follower, {}).configurationVersion == 9);
     CHECK(readsOf(follower) > 0);
 }
+
+// Each daemon knew its own attempts alone, so that all of them took the busiest engine of the site for an idle one.
+TEST_CASE("a daemon learns from its source what all daemons of the data centre have sent to the engines")
+{
+    std::promise<void> mayEnd;
+    auto end = mayEnd.get_future().share();
+    ScriptedServer engine([&](const std::string& request) {
+        end.wait_for(8s);
+        return ownAnswer(request, "200 OK", "ok");
+    });
+    RouterFixture reader("host-1", 700);
+    setVersion(reader, 9);
+    RouterFixture follower("host-2", 100);
+    reader.platform().hosts = { reader.peer(), follower.peer() };
+    follower.platform().hosts = { reader.peer(), follower.peer() };
+    reader.start({ endpointAt("e1", "assistant", engine.address()) });
+    follower.start({});
+    auto answer
+        = std::async(std::launch::async, [&] { return follower.send(requestText("POST", "/ask/1", "r1", "flags")); });
+    bool isKnown = RouterFixture::eventually([&] {
+        auto facts = ask(reader, {});
+        return facts.load == std::vector<EndpointLoad> { { EndpointId("e1@1"), 1 } };
+    });
+    CHECK(isKnown);
+    CHECK(ask(reader, {}).peers == 2);
+    mayEnd.set_value();
+    CHECK(statusOf(answer.get()) == 200);
+    CHECK(RouterFixture::eventually([&] {
+        auto facts = ask(reader, {});
+        return facts.load && facts.load->empty();
+    }));
+}
--- a/test/support/CoreDriver.h
+++ b/test/support/CoreDriver.h
@@ -65,6 +65,7 @@
 
     void advance(Duration step) { m_now += step; }
     CoreStatus status() const { return m_core.status(); }
+    std::vector<EndpointLoad> ownLoad() const { return m_core.ownLoad(); }
 
 private:
     DecisionCore m_core;
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -263,7 +263,7 @@
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
                   [this](const EndpointId& id) { m_control.reportSilent(id); } },
               m_engines, m_age)
-        , m_peers(m_controlIo, [this](std::string target) { return m_control.answerPeer(std::move(target)); })
+        , m_peers(m_controlIo, [this](router::TextRequest request) { return m_control.answerPeer(std::move(request)); })
     {
         m_state.configuration = std::make_shared<const RoutingConfiguration>(sampleConfiguration());
     }
