Replace a lost reader by the next host, and try a failing store rarely

Cause: when the reader of a data centre failed, each of its daemons read the store for two seconds, and while the store was away all of them sent four calls a second of each kind. Hosts that declined were left alone for up to 32 s, so that daemons went on reading for themselves after the loss.

Change: a daemon whose source failed asks the next host at once and reads for itself only when none has answered for a bounded time, which follows from the time in which the platform wants changes to be in force. A host that declines names the one that it asks; while the loss may not be noticed everywhere it is asked again soon. Failed reads are repeated after 250 ms by the first two hosts of a data centre and after up to 2 s by the others.

--- a/src/core/membership/FactSources.cpp
+++ b/src/core/membership/FactSources.cpp
@@ -7,9 +7,10 @@
 
 namespace jacinthspindle {
 
-FactSources::FactSources(HostId self, DataCentreId dataCentre)
+FactSources::FactSources(HostId self, DataCentreId dataCentre, Duration searchTime)
     : m_self(std::move(self))
     , m_dataCentre(std::move(dataCentre))
+    , m_searchTime(std::max(searchTime, shortestSearch))
 {
 }
 
@@ -25,6 +26,15 @@
     m_hosts = std::move(hosts);
 }
 
+Duration FactSources::retryPause() const
+{
+    size_t before = 0;
+    while (before < m_hosts.size() && m_hosts[before].host != m_self)
+        ++before;
+    bool isListed = before < m_hosts.size() && m_hosts[before].dataCentre == m_dataCentre;
+    return isListed ? std::min<Duration>(shortestRetry * std::max<size_t>(1, before), longestRetry) : shortestRetry;
+}
+
 size_t FactSources::localHosts() const
 {
     return static_cast<size_t>(std::count_if(
@@ -37,21 +47,37 @@
     return it != m_pauses.end() && now < it->second.until;
 }
 
+const PeerHost* FactSources::find(const HostId& host) const
+{
+    auto it = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const PeerHost& peer) { return peer.host == host; });
+    return it == m_hosts.end() ? nullptr : &*it;
+}
+
+// Hosts of other data centres are asked only when the platform does not answer.
+bool FactSources::mayAsk(Instant now, const PeerHost& peer) const
+{
+    return peer.host != m_self && !isPaused(now, peer.host) && (peer.dataCentre == m_dataCentre || isTurnedAway(now));
+}
+
 const PeerHost* FactSources::current(Instant now) const
 {
     bool mayNotRead = isTurnedAway(now);
     if (now < m_readsUntil && !mayNotRead)
         return nullptr;
+    // The host that others ask is preferred to those in the order: daemons with one source cost one reader.
+    bool isFirst = !m_hosts.empty() && m_hosts.front().host == m_self;
+    const auto* reader = m_reader.isEmpty() || (isFirst && !mayNotRead) ? nullptr : find(m_reader);
+    if (reader && mayAsk(now, *reader))
+        return reader;
     for (const auto& it : m_hosts) {
         if (it.host == m_self) {
             if (!mayNotRead)
                 return nullptr;
             continue;
         }
-        // Hosts of other data centres are asked only when the platform does not answer.
         if (it.dataCentre != m_dataCentre && !mayNotRead)
             return nullptr;
-        if (!isPaused(now, it.host))
+        if (mayAsk(now, it))
             return &it;
     }
     return nullptr;
@@ -69,27 +95,45 @@
     pause.until = now + pause.length;
 }
 
-void FactSources::failed(Instant now, const HostId& source)
+void FactSources::search(Instant now)
 {
-    pause(now, source);
+    if (!m_searchingSince)
+        m_searchingSince = now;
+    if (now - *m_searchingSince < m_searchTime)
+        return;
     m_readsUntil = now + ownReadingTime;
+    m_searchingSince.reset();
 }
 
-void FactSources::declined(Instant now, const HostId& source)
+std::optional<Duration> FactSources::searchTimeLeft(Instant now) const
+{
+    if (!m_searchingSince)
+        return std::nullopt;
+    return std::max(Duration::zero(), *m_searchingSince + m_searchTime - now);
+}
+
+void FactSources::failed(Instant now, const HostId& source)
 {
     pause(now, source);
-    if (!m_declinedSince)
-        m_declinedSince = now;
-    if (now - *m_declinedSince < longestSearch)
-        return;
-    m_readsUntil = now + ownReadingTime;
-    m_declinedSince.reset();
+    m_failedAt = now;
+    if (m_reader == source)
+        m_reader = {};
+    search(now);
+}
+
+void FactSources::declined(Instant now, const HostId& source, const HostId& reader)
+{
+    bool mayReadSoon = m_failedAt && now - *m_failedAt < noticeTime;
+    m_pauses[source].until = now + (mayReadSoon ? declinedPause : shortestPause);
+    m_reader = reader == source ? HostId() : reader;
+    search(now);
 }
 
 void FactSources::answered(const HostId& source)
 {
     m_pauses.erase(source);
-    m_declinedSince.reset();
+    m_searchingSince.reset();
+    m_failedAt.reset();
 }
 
 void FactSources::ownRead(Instant now, FactKind kind, bool didAnswer)
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -13,9 +13,8 @@
     // A leaving endpoint receives nothing later than 2 s after it said so. The rest of that time is for the read, its
     // answer, other daemons that learn it from this one, and the time in which they notice that this one froze.
     constexpr milliseconds listInterval { 900 };
-    // While there are no endpoints yet, so that the layout is made well before the first caller.
+    // While there is no configuration or no endpoint yet, so that the layout is made well before the first caller.
     constexpr milliseconds firstListInterval { 250 };
-    constexpr milliseconds retryInterval { 250 };
     constexpr milliseconds tickInterval { 100 };
     // A daemon that reads the platform itself takes over the load that others told it every this many ticks.
     constexpr uint32_t loadTicks = 3;
@@ -161,7 +160,7 @@
         m_sharing.ownRead(FactKind::Configuration, sighting.has_value());
         if (sighting && m_configuration)
             continue;
-        timer.expires_after(retryInterval);
+        timer.expires_after(sighting ? Duration(firstListInterval) : m_sharing.retryPause());
         ErrorCode ec;
         co_await timer.async_wait(awaitInto(ec));
     }
@@ -267,7 +266,7 @@
             m_directory.missed();
         m_sharing.ownRead(FactKind::Endpoints, listed.has_value());
         bool hasSome = listed && !listed->empty();
-        timer.expires_after(!listed ? retryInterval : hasSome ? listInterval : firstListInterval);
+        timer.expires_after(!listed ? m_sharing.retryPause() : Duration(hasSome ? listInterval : firstListInterval));
         ErrorCode ec;
         co_await timer.async_wait(awaitInto(ec));
     }
--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -79,6 +79,7 @@
         facts.source = textOf(json, "source");
         facts.news = numberOf<uint64_t>(json, "news");
         facts.isReader = internal::flagOf(json, "is_reader");
+        facts.reader = textOf(json, "reader");
         facts.hosts = numberOf<uint32_t>(json, "hosts");
         facts.configurationVersion = numberOf<uint64_t>(json, "configuration_version");
         facts.configurationAge = ageOf(json, "configuration_age_ms");
@@ -154,7 +155,8 @@
 std::string encodeFacts(const Facts& facts)
 {
     Json json { { "source", facts.source }, { "news", facts.news }, { "is_reader", facts.isReader },
-        { "hosts", facts.hosts }, { "peers", facts.peers }, { "configuration_version", facts.configurationVersion },
+        { "reader", facts.reader }, { "hosts", facts.hosts }, { "peers", facts.peers },
+        { "configuration_version", facts.configurationVersion },
         { "configuration_age_ms", encodeAge(facts.configurationAge) },
         { "endpoints_revision", facts.endpointsRevision }, { "endpoints_age_ms", encodeAge(facts.endpointsAge) } };
     if (facts.configurationDocument)
--- a/src/router/FactRelay.h
+++ b/src/router/FactRelay.h
@@ -22,6 +22,7 @@
     std::string source; // Names the start of the answering daemon; news and endpointsRevision are its own counts.
     uint64_t news = 0; // Rises with each answer of the platform.
     bool isReader = false; // It reads the platform itself, with success.
+    std::string reader; // Host that the answering daemon asks itself; empty when there is none.
     uint32_t hosts = 0; // Daemons in the platform's list; 0: unknown.
     uint64_t configurationVersion = 0; // 0: it has none.
     std::chrono::milliseconds configurationAge {}; // When the answer was made.
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -27,6 +27,10 @@
     constexpr milliseconds sourceCheckInterval { 100 };
     // Each daemon of the data centre has told its load after this time: an answer takes 0.5 s at most.
     constexpr milliseconds loadCollectionTime { 700 };
+    // Of the time in which a change must be followed, what passes before a lost source is noticed and what the first
+    // own read takes; the rest is for the search for another source.
+    constexpr milliseconds timeWithoutSource = askTimeout + milliseconds(800);
+    constexpr milliseconds shortestAskTimeout { 100 };
     // Between two questions, so that a source that always has news is not asked all the time.
     constexpr milliseconds shortestAskInterval { 50 };
 
@@ -42,7 +46,7 @@
     , m_port(std::move(port))
     , m_self { settings.host, settings.dataCentre, settings.peerAddress, settings.linkMbps }
     , m_name(std::move(name))
-    , m_sources(settings.host, settings.dataCentre)
+    , m_sources(settings.host, settings.dataCentre, settings.changeBound - timeWithoutSource)
     , m_change(io)
 {
 }
@@ -151,7 +155,7 @@
         if (outcome == PeerAnswer::Failed)
             m_sources.failed(m_clock.now(), peer.host);
         else if (outcome == PeerAnswer::Declined)
-            m_sources.declined(m_clock.now(), peer.host);
+            m_sources.declined(m_clock.now(), peer.host, m_namedReader);
         else
             m_sources.answered(peer.host);
         co_await sleep(shortestAskInterval);
@@ -165,9 +169,12 @@
     question.news = m_last.news;
     question.endpointsRevision = m_last.endpointsRevision;
     question.asker = m_name;
+    Duration timeout = askTimeout;
+    if (auto left = m_sources.searchTimeLeft(m_clock.now()))
+        timeout = std::clamp<Duration>(*left, shortestAskTimeout, askTimeout);
     auto askedAt = m_clock.now();
-    auto reply
-        = co_await m_caller->call(http::verb::post, encodeQuestion(question), encodeOwnLoad(question), askTimeout);
+    auto reply = co_await m_caller->call(
+        http::verb::post, encodeQuestion(question), encodeOwnLoad(question), std::chrono::ceil<milliseconds>(timeout));
     std::optional<Facts> facts;
     if (reply && reply->status == 200)
         facts = decodeFacts(reply->body);
@@ -184,6 +191,7 @@
         m_metrics.add(daemon::Counter::PeerMessagesRejected);
         co_return fail("status " + std::to_string(reply->status) + " or malformed");
     }
+    m_namedReader = HostId(facts->reader);
     if (!facts->isReader)
         co_return PeerAnswer::Declined;
     if (std::max(facts->configurationAge, facts->endpointsAge) > longestFactAge)
@@ -239,6 +247,7 @@
     facts.source = m_name;
     facts.news = m_news;
     facts.isReader = isReadingWell();
+    facts.reader = m_source;
     facts.hosts = static_cast<uint32_t>(hosts());
     facts.peers = static_cast<uint32_t>(peers());
     facts.load = load();
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -36,6 +36,8 @@
     net::awaitable<void> untilReading();
     // Daemons that entered themselves in the platform's list, as this one or its source last read it; 0: unknown.
     size_t hosts() const { return std::max(m_sources.hosts(), m_relayedHosts); }
+    // Pause after a failed read of the platform.
+    Duration retryPause() const { return m_sources.retryPause(); }
     // The platform did or did not answer this daemon.
     void ownRead(FactKind, bool didAnswer);
     // What this daemon knows has changed or was confirmed.
@@ -78,6 +80,7 @@
     std::optional<HttpCaller> m_caller; // To m_source.
     size_t m_relayedHosts = 0; // As the source last told.
     size_t m_relayedPeers = 0; // As the source last told.
+    HostId m_namedReader; // That the last answer named as the source of the answering daemon.
     LoadLedger m_ledger;
     Instant m_readingSince {}; // Valid while m_isReading.
     FactQuestion m_last; // Source, news and revision of the last answer.
--- a/src/router/RouterSettings.h
+++ b/src/router/RouterSettings.h
@@ -39,6 +39,8 @@
     std::chrono::milliseconds shutdownGrace { 8000 };
     // A key is in force no longer than this after it was taken away, by the platform's rules.
     std::chrono::milliseconds keyRevocationBound { 5000 };
+    // A change of the configuration or of an endpoint is in force this long after it was made, by the platform's rules.
+    std::chrono::milliseconds changeBound { 2000 };
     // Repetitions per first attempt that all daemons together may send to a service.
     double retryShare = 0.2;
     // Beside this share, per retryWindow.
--- a/test/router/FactRelayTest.cpp
+++ b/test/router/FactRelayTest.cpp
@@ -36,6 +36,7 @@
     endpoint.heartbeats = 77;
     facts.endpoints = { endpoint };
     facts.returnedSince = 1500ms;
+    facts.reader = "host-4";
     facts.peers = 5;
     facts.load = { { EndpointId("i-1@1700000000000"), 12 } };
     return facts;
