Take no endpoint back that was seen to leave

Ruled out: late news (the daemon had removed the endpoint 0.8 s after it left and took it back 0.5 s later).

Change: an own failed read counts as an outage only when this daemon has heard nothing of the endpoints for 1.5 s, from anyone. From a daemon that waits for entries, one that this daemon has seen to go is not taken back, and one that is leaving stays so.

Tests: EndpointDirectoryTest, two cases, red before (5 assertions).

--- a/src/router/EndpointDirectory.cpp
+++ b/src/router/EndpointDirectory.cpp
@@ -6,7 +6,7 @@
 
 bool EndpointDirectory::update(Instant now, const std::vector<EndpointSighting>& listed)
 {
-    if (m_isAway)
+    if (m_isAway && now - m_updatedAt >= shortestOutage)
         m_returnedAt = now;
     m_isAway = false;
     m_updatedAt = now;
@@ -23,9 +23,31 @@
                 next.emplace(id, endpoint);
         }
     }
+    noteGone(now, next);
     return replace(std::move(next));
 }
 
+void EndpointDirectory::noteGone(Instant now, const std::map<EndpointId, EndpointSighting>& next)
+{
+    std::erase_if(m_goneAt, [&](const auto& it) { return now - it.second > goneTime || next.contains(it.first); });
+    for (const auto& it : m_endpoints) {
+        if (!next.contains(it.first))
+            m_goneAt[it.first] = now;
+    }
+}
+
+void EndpointDirectory::correctByOwn(Instant now, std::map<EndpointId, EndpointSighting>& next) const
+{
+    std::erase_if(next, [&](const auto& it) {
+        auto gone = m_goneAt.find(it.first);
+        return gone != m_goneAt.end() && now - gone->second <= goneTime;
+    });
+    for (auto& [id, endpoint] : next) {
+        const auto* known = find(id);
+        endpoint.isLeaving = endpoint.isLeaving || (known && known->isLeaving);
+    }
+}
+
 bool EndpointDirectory::adopt(
     Instant updatedAt, std::vector<EndpointSighting> endpoints, std::optional<Instant> returnedAt)
 {
@@ -37,6 +59,9 @@
         auto id = it.endpoint;
         next.emplace(std::move(id), std::move(it));
     }
+    if (returnedAt)
+        correctByOwn(updatedAt, next);
+    noteGone(updatedAt, next);
     return replace(std::move(next));
 }
 
--- a/src/router/EndpointDirectory.h
+++ b/src/router/EndpointDirectory.h
@@ -18,6 +18,11 @@
     // After an outage of the store, entries that lapsed meanwhile are back within about two seconds if their endpoints
     // live. Until then a missing entry does not mean that an endpoint has gone.
     static constexpr Duration returnTime = std::chrono::milliseconds(2500);
+    // Entries lapse after three heartbeats without a write. A daemon whose knowledge is younger than this has missed no
+    // such time, also if the platform has turned this daemon alone away.
+    static constexpr Duration shortestOutage = std::chrono::milliseconds(1500);
+    // For this long an endpoint that was seen to go is not taken back from another daemon that waits for entries.
+    static constexpr Duration goneTime = std::chrono::seconds(10);
 
     // The platform answered with all its entries. Returns true when anything but heartbeats has changed.
     bool update(Instant now, const std::vector<EndpointSighting>&);
@@ -52,10 +57,14 @@
 
 private:
     bool replace(std::map<EndpointId, EndpointSighting>);
+    void noteGone(Instant now, const std::map<EndpointId, EndpointSighting>& next);
+    // What a daemon that waits for entries tells may be older than what this one has seen.
+    void correctByOwn(Instant now, std::map<EndpointId, EndpointSighting>& next) const;
     bool isWithinReturn(Instant now) const { return m_returnedAt != Instant() && now - m_returnedAt < returnTime; }
 
     std::map<EndpointId, EndpointSighting> m_endpoints;
     std::map<EndpointId, uint64_t> m_silent; // Heartbeats when the endpoint was marked.
+    std::map<EndpointId, Instant> m_goneAt; // Endpoints that were no longer listed while no entry was waited for.
     bool m_isAway = false; // The last read failed.
     Instant m_returnedAt {}; // First answer after a failed read.
     Instant m_updatedAt {};
--- a/test/router/EndpointDirectoryTest.cpp
+++ b/test/router/EndpointDirectoryTest.cpp
@@ -24,6 +24,8 @@
 
 const EndpointSighting a = endpoint("a@1", "10.0.0.1:80");
 const EndpointSighting b = endpoint("b@1", "10.0.0.2:80");
+const EndpointSighting c = endpoint("c@1", "10.0.0.3:80");
+const EndpointSighting d = endpoint("d@1", "10.0.0.4:80");
 
 } // namespace
 
@@ -73,3 +75,37 @@
     CHECK(directory.takeRecovered() == std::vector { EndpointId("a@1") });
     CHECK(directory.takeRecovered().empty());
 }
+
+// A reader that the store had turned away for a moment kept an endpoint that had left, and the daemons of its data
+// centre took the endpoint back from it.
+TEST_CASE("a daemon that others told about the endpoints while its own read failed keeps no entry that is missing")
+{
+    EndpointDirectory directory;
+    directory.update(start, { a, b });
+    directory.missed();
+    directory.adopt(start + 3s, { a, b }, std::nullopt);
+    directory.missed();
+    CHECK(directory.update(start + 3500ms, { a }));
+    CHECK_FALSE(directory.find(b.endpoint));
+    CHECK_FALSE(directory.returnedAt(start + 3500ms));
+}
+
+TEST_CASE("an endpoint that was seen to go or to leave is not taken back from a daemon that waits for entries")
+{
+    EndpointDirectory directory;
+    auto leaving = b;
+    leaving.isLeaving = true;
+    directory.update(start, { a, b, c });
+    directory.update(start + 1s, { a, leaving });
+    auto returnedAt = start + 1500ms;
+    directory.adopt(start + 2s, { a, b, c, d }, returnedAt);
+    CHECK_FALSE(directory.find(c.endpoint));
+    REQUIRE(directory.find(b.endpoint));
+    CHECK(directory.find(b.endpoint)->isLeaving);
+    CHECK_MESSAGE(directory.find(d.endpoint), "an endpoint that was not known before may be new");
+    SUBCASE("a daemon that waits for nothing is believed")
+    {
+        directory.adopt(start + 3s, { a, b, c }, std::nullopt);
+        CHECK(directory.find(c.endpoint));
+    }
+}
