Bound what an endpoint in trouble can send, and end streams without progress

Causes: an answer that is no stream was held in memory up to 16 MiB, so that ten of them end a daemon of 160 MB. The framing of a chunk had no bound at all. A byte now and then counted as progress of a stream, so that a stalled stream lasted until its deadline while its caller saw nothing. Closing the address at the end of a drain reset connections that waited to be accepted.

Change: 64 KiB of an answer are held, so that a failure can be replaced; a longer success is passed on as the caller reads it and is never continued by another endpoint. Only whole events are progress, and a stream without one for as long as callers wait (2 s, four objectives or eight permitted pauses) moves to another engine or ends. A drain takes the connections that wait before it closes the address, and closes idle ones after 300 ms only.

The end of a drain has no test of its own: what waits in the kernel's queue at that moment cannot be set up without depending on timing.

--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -18,6 +18,10 @@
     // For refusals because of a configuration that is too old; another daemon may know a newer one.
     constexpr milliseconds staleRetryAfter { 100 };
     constexpr milliseconds defaultDeadline { 30000 };
+    // Bytes that are read ahead of their parsing; bounds framing that has no end, such as that of a chunk.
+    constexpr size_t maxReadAhead = size_t { 128 } << 10;
+    // A caller sends its request right after it has connected.
+    constexpr milliseconds shortestIdle { 300 };
     // Reading a response takes no longer than this for a caller that reads at all.
     constexpr milliseconds writeTimeout { 10000 };
 
@@ -59,13 +63,15 @@
 ClientSession::ClientSession(Traffic& traffic, tcp::socket socket)
     : m_traffic(traffic)
     , m_stream(std::move(socket))
+    , m_buffer(maxReadAhead)
+    , m_idleSince(traffic.context().clock.now())
 {
     tuneSocket(m_stream.socket());
 }
 
-void ClientSession::closeIfIdle()
+void ClientSession::closeIfIdle(Instant now)
 {
-    if (m_isIdle)
+    if (m_isIdle && now - m_idleSince >= shortestIdle)
         m_stream.close();
 }
 
@@ -98,7 +104,8 @@
     if (m_buffer.size())
         co_return true;
     m_isIdle = true;
-    m_buffer = beast::flat_buffer();
+    m_idleSince = m_traffic.context().clock.now();
+    m_buffer = beast::flat_buffer(maxReadAhead);
     const auto& view = m_traffic.view();
     m_stream.expires_after(view ? view->configuration->limits.idleTimeout : CallerLimits().idleTimeout);
     ErrorCode ec;
--- a/src/router/ClientSession.h
+++ b/src/router/ClientSession.h
@@ -16,8 +16,9 @@
     // Serves the connection until it ends.
     net::awaitable<void> run();
 
-    // Closes the connection unless a request is in progress or on its way in.
-    void closeIfIdle();
+    // Closes the connection when no request has begun on it for a while: the first one of a new connection may be on
+    // its way.
+    void closeIfIdle(Instant now);
     bool isIdle() const { return m_isIdle; }
 
     net::awaitable<bool> sendWhole(http::response<http::string_body>) override;
@@ -40,6 +41,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     bool m_isIdle = true; // No byte of a request has arrived since the last answer.
+    Instant m_idleSince; // Valid while m_isIdle.
     bool m_wantsClose = false; // The caller asked for it, or its connection cannot go on.
     bool m_isOldVersion = false; // HTTP/1.0: answers have no chunks.
 };
--- a/src/router/EndpointPool.cpp
+++ b/src/router/EndpointPool.cpp
@@ -54,7 +54,7 @@
     connection->idleSince = m_clock.now();
     connection->idleLimit = idleLimit;
     // A buffer that grew for a long answer is not kept.
-    connection->buffer = beast::flat_buffer();
+    connection->buffer = beast::flat_buffer(EndpointConnection::maxReadAhead);
     if (idle.size() >= maxIdlePerAddress)
         idle.pop_front();
     idle.push_back(std::move(connection));
--- a/src/router/EndpointPool.h
+++ b/src/router/EndpointPool.h
@@ -15,6 +15,8 @@
 
 // One connection; in use by at most one request.
 struct EndpointConnection {
+    static constexpr size_t maxReadAhead = size_t { 64 } << 10;
+
     EndpointConnection(const net::any_io_executor& executor, std::string peer)
         : stream(executor)
         , address(std::move(peer))
@@ -22,7 +24,8 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer; // Bytes that were read ahead.
+    // Bytes that were read ahead. The bound ends an answer whose framing has no end, such as that of a chunk.
+    beast::flat_buffer buffer { maxReadAhead };
     std::string address;
     Instant idleSince {};
     std::chrono::milliseconds idleLimit {}; // For how long the endpoint keeps it, less a margin.
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -2,6 +2,8 @@
 
 #include "router/Exchange.h"
 
+#include <limits>
+
 namespace jacinthspindle::router {
 
 namespace {
@@ -19,7 +21,12 @@
     constexpr uint32_t maxSends = 4;
     // A refusal is repeated by the caller only if it can come back while part of its time is left.
     constexpr int retryAfterShare = 4;
-    constexpr size_t maxAnswerBytes = size_t { 16 } << 20;
+    // Of an answer that is no stream, what is held until it is whole, so that a failed one can be replaced. Longer
+    // answers are passed on as they come.
+    constexpr size_t maxHeldBytes = size_t { 64 } << 10;
+    // Callers leave a stream after this time without an event, four times the objective of the first one or eight times
+    // the permitted pause, whichever is longest.
+    constexpr milliseconds leastPatience { 2000 };
     // An event of a stream holds a few tokens; only the length estimates of the core use the figure.
     constexpr uint32_t tokensPerEvent = 2;
 
@@ -75,6 +82,13 @@
     return m_connection && m_request.isModel ? m_context.clock.now() - m_progressAt : Duration::zero();
 }
 
+bool Exchange::isStalled() const
+{
+    const auto& route = m_request.route;
+    auto patience = std::max({ leastPatience, route.targetLatency * 4, route.targetPause * 8 });
+    return silentFor() >= patience;
+}
+
 void Exchange::note(const char* event, std::vector<LineField> fields)
 {
     fields.insert(fields.begin(), { { "request", m_request.wireId }, { "service", m_request.service } });
@@ -171,7 +185,8 @@
 
 bool Exchange::mayRepeat(const AttemptResult& result) const
 {
-    if (timeLeft() <= Duration::zero() || result.end == AttemptEnd::TimedOut || result.end == AttemptEnd::OutOfAttempts)
+    if (m_isPassingThrough || timeLeft() <= Duration::zero() || result.end == AttemptEnd::TimedOut
+        || result.end == AttemptEnd::OutOfAttempts)
         return false;
     if (result.end == AttemptEnd::NotSent)
         return true;
@@ -343,7 +358,8 @@
     constexpr int maxForeign = 2;
     for (int i = 0; i <= maxForeign; ++i) {
         parser = std::make_unique<Parser>();
-        parser->body_limit(maxAnswerBytes);
+        // Boost 1.74 compares a length with a missing limit as if it were exceeded.
+        parser->body_limit(std::numeric_limits<uint64_t>::max());
         ErrorCode ec;
         co_await http::async_read_header(connection.stream, connection.buffer, *parser, awaitInto(ec));
         if (ec)
@@ -353,8 +369,8 @@
         isForeign = true;
         note("foreign-answer", { { "endpoint", m_head.endpoint.value() } });
         std::string ignored;
-        bool isWhole = co_await readBody(connection, *parser, ignored);
-        if (!isWhole || !parser->keep_alive())
+        auto end = co_await readBody(connection, *parser, ignored);
+        if (end != BodyEnd::Whole || !parser->keep_alive())
             co_return false;
     }
     co_return false;
@@ -371,24 +387,55 @@
     co_return std::string_view(m_chunk.data(), m_chunk.size() - parser.get().body().size);
 }
 
-net::awaitable<bool> Exchange::readBody(EndpointConnection& connection, Parser& parser, std::string& body)
+net::awaitable<Exchange::BodyEnd> Exchange::readBody(EndpointConnection& connection, Parser& parser, std::string& body)
 {
     while (!parser.is_done()) {
+        if (body.size() > maxHeldBytes)
+            co_return BodyEnd::TooLong;
         auto bytes = co_await readSome(connection, parser);
         if (!bytes)
-            co_return false;
+            co_return BodyEnd::BrokenOff;
         body.append(*bytes);
     }
-    co_return true;
+    co_return BodyEnd::Whole;
 }
 
 net::awaitable<Exchange::AttemptResult> Exchange::takeWhole(EndpointConnection& connection, Parser& parser)
 {
     std::string body;
-    bool isWhole = co_await readBody(connection, parser, body);
-    if (!isWhole)
+    auto end = co_await readBody(connection, parser, body);
+    if (end == BodyEnd::BrokenOff)
         co_return broken("answer broke off");
-    co_return classify(parser.get().base(), body);
+    if (end == BodyEnd::Whole)
+        co_return classify(parser.get().base(), body);
+    bool isOwnSuccess = isSuccess(parser.get().result_int()) && isOwnAnswer(parser.get().base());
+    if (!isOwnSuccess)
+        co_return notOwnAnswer();
+    co_return co_await passThrough(connection, parser, std::move(body));
+}
+
+// Passes on an answer that is too long to be held. The caller's reading bounds how fast it is read.
+net::awaitable<Exchange::AttemptResult> Exchange::passThrough(
+    EndpointConnection& connection, Parser& parser, std::string body)
+{
+    m_hasBegun = true;
+    m_isPassingThrough = true;
+    bool isReached = co_await m_sink.beginParts(forwardResponseHeader(parser.get().base()));
+    if (isReached)
+        isReached = co_await m_sink.sendPart(body);
+    body = {};
+    while (isReached && !parser.is_done()) {
+        auto bytes = co_await readSome(connection, parser);
+        if (!bytes)
+            co_return broken("answer broke off");
+        if (!bytes->empty())
+            isReached = co_await m_sink.sendPart(*bytes);
+    }
+    if (!isReached) {
+        m_isCallerGone = true;
+        co_return broken("caller");
+    }
+    co_return AttemptResult { AttemptEnd::Complete, {}, FailureKind::BadToken, "" };
 }
 
 EndpointId Exchange::faultOf(const http::response_header<>& header) const
@@ -477,12 +524,13 @@
             co_return broken("stream broke off");
         if (bytes->empty())
             continue;
-        m_progressAt = m_context.clock.now();
         events.clear();
         if (!m_events.take(*bytes, events))
             co_return broken("event too long");
         if (events.empty())
             continue;
+        // Bytes that end no event are no progress: the caller sees none either.
+        m_progressAt = m_context.clock.now();
         noteEvent(m_progressAt);
         bool isReached = co_await sendEvents(header, events, attempt);
         if (!isReached) {
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -80,6 +80,8 @@
     const EndpointSighting* head() const { return m_connection ? &m_head : nullptr; }
     // For how long an attempt of a model has shown no progress; zero when none runs.
     Duration silentFor() const;
+    // True when the running attempt has shown no progress for as long as callers wait for an event.
+    bool isStalled() const;
 
 private:
     enum class AttemptEnd : uint8_t { Complete, NotSent, OutOfAttempts, NotExecuted, Failed, CallerGone, TimedOut };
@@ -102,9 +104,12 @@
     net::awaitable<bool> readOwnHeader(EndpointConnection&, std::unique_ptr<Parser>&, bool& isForeign);
     // Returns the next bytes of the body, none when only framing was read; nothing when the answer broke off.
     net::awaitable<std::optional<std::string_view>> readSome(EndpointConnection&, Parser&);
-    net::awaitable<bool> readBody(EndpointConnection&, Parser&, std::string& body);
+    enum class BodyEnd : uint8_t { Whole, TooLong, BrokenOff };
+    // Reads the body, or its beginning when it is longer than a daemon holds in memory for one request.
+    net::awaitable<BodyEnd> readBody(EndpointConnection&, Parser&, std::string& body);
     net::awaitable<AttemptResult> relayStream(EndpointConnection&, Parser&, uint32_t attempt);
     net::awaitable<AttemptResult> takeWhole(EndpointConnection&, Parser&);
+    net::awaitable<AttemptResult> passThrough(EndpointConnection&, Parser&, std::string body);
     AttemptResult classify(const http::response_header<>&, const std::string& body);
     bool isOwnAnswer(const http::response_header<>&) const;
     AttemptResult notOwnAnswer() const;
@@ -134,7 +139,7 @@
     EndpointConnection* m_connection = nullptr; // Of the running attempt; owned by attempt().
     EndpointSighting m_head;
     std::optional<EndpointId> m_movedFrom; // Set when the running attempt was ended by moveAway().
-    Instant m_progressAt {}; // Last bytes of the running attempt, or when it was sent.
+    Instant m_progressAt {}; // Last event of the running attempt, or when it was sent.
     std::optional<Instant> m_firstEventAt;
     Instant m_eventAt {}; // When the last event was passed on; valid after the first one.
     Duration m_longestGap {}; // Between two events that the caller received.
@@ -143,6 +148,7 @@
     std::set<EndpointId> m_sentTo; // Endpoints to which the request was sent and that are not lost.
     bool m_mayHaveRun = false; // Some endpoint may have run the request.
     bool m_hasBegun = false; // The caller has received a part of the answer.
+    bool m_isPassingThrough = false; // That part is of an answer which is no stream, so that no other can continue it.
     std::array<char, 4096> m_chunk; // Bytes that readSome() returned last.
     EventSplitter m_events;
     std::optional<http::response<http::string_body>> m_answer; // An endpoint's own whole answer.
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -58,9 +58,7 @@
         tcp::socket socket(m_io);
         co_await m_acceptor.async_accept(socket, awaitInto(ec));
         if (!ec) {
-            auto session = std::make_shared<ClientSession>(*this, std::move(socket));
-            m_sessions.insert(session);
-            net::co_spawn(m_io, session->run(), net::detached);
+            serve(std::move(socket));
             continue;
         }
         if (ec == net::error::operation_aborted)
@@ -72,6 +70,28 @@
     }
 }
 
+void Traffic::serve(tcp::socket socket)
+{
+    auto session = std::make_shared<ClientSession>(*this, std::move(socket));
+    m_sessions.insert(session);
+    net::co_spawn(m_io, session->run(), net::detached);
+}
+
+// Takes the connections that wait to be accepted: closing the address would reset them, and with them requests that
+// have been sent.
+void Traffic::acceptWaiting()
+{
+    ErrorCode ec;
+    m_acceptor.cancel(ec);
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::socket socket(m_io);
+        m_acceptor.accept(socket, ec);
+        if (!ec)
+            serve(std::move(socket));
+    }
+}
+
 void Traffic::publish(std::shared_ptr<const RoutingView> view)
 {
     net::post(m_io, [this, view = std::move(view)] { m_view = view; });
@@ -156,6 +176,11 @@
     for (const auto& [id, exchange] : m_exchanges) {
         if (!exchange->head() || exchange->silentFor() < silenceBeforeInquiry)
             continue;
+        if (exchange->isStalled()) {
+            // The head lives and names no silent stage, but the caller is about to leave.
+            exchange->moveAway(exchange->head()->endpoint);
+            continue;
+        }
         auto& askedAt = m_inquiries[exchange->head()->address];
         if (now - askedAt < inquiryInterval + inquiryTimeout)
             continue;
@@ -219,13 +244,14 @@
     ErrorCode ec;
     timer.expires_after(balancerLag);
     co_await timer.async_wait(awaitInto(ec));
+    acceptWaiting();
     m_acceptor.close(ec);
     auto lastMoment = *m_drainedAt + m_settings.shutdownGrace - drainMargin;
     while (m_context.clock.now() < lastMoment) {
         // A session leaves the set while its coroutine ends, so that the set is copied.
         auto sessions = m_sessions;
         for (const auto& it : sessions)
-            it->closeIfIdle();
+            it->closeIfIdle(m_context.clock.now());
         if (m_exchanges.empty() && m_sessions.empty())
             break;
         timer.expires_after(sweepInterval);
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -63,6 +63,8 @@
 
 private:
     net::awaitable<void> acceptCallers();
+    void acceptWaiting();
+    void serve(tcp::socket);
     net::awaitable<void> sweep();
     net::awaitable<void> inquire(EndpointSighting head);
     net::awaitable<void> finishDrain(std::function<void()> onIdle);
