Leave a layout that was just made as it is, with copies of equal memory

The number of copies was chosen without the bound on weights that the later steps keep, and engines were dealt out in turn, so that some copies were denser than others. In the next round engines with a layer more than usual gave back all layers beyond it that other copies hold, and heads were left behind which no engine of their copy went on.

Ruled out: the choice of chains (the unused heads had no successor for their next layer), orders that were refused (all 135 were accepted).

Change: the weights of all copies stay within the part of the memory that crowded engines are brought back to; each engine goes to the copy with the least memory; an engine is crowded only with more than one layer above usual, since ranges are cut to whole layers. A daemon that changes between reading and following forgets the revision of its source's list (found by reading; no test of its own).

Test: LayerPlacementTest, "a layout that was just made is left as it is", over twelve data centres, three sizes of the KV cache and three usual sizes; red before.

--- a/src/core/ChainPlanner.cpp
+++ b/src/core/ChainPlanner.cpp
@@ -142,9 +142,10 @@
 
 Plan ChainPlanner::planInOne(Instant now, const Pool& pool, const PlanRequest& request, std::mt19937_64& random)
 {
-    size_t others = pool.dataCentres.empty() ? 0 : pool.dataCentres.size() - 1;
-    size_t turn = others ? random() % others : 0;
-    for (size_t i = 0; i < pool.dataCentres.size(); ++i) {
+    size_t n = pool.dataCentres.size();
+    size_t others = std::max<size_t>(2, n) - 1;
+    size_t turn = random() % others;
+    for (size_t i = 0; i < n; ++i) {
         const auto& part = pool.dataCentres[i ? 1 + (turn + i) % others : 0];
         if (!part.isCovered)
             continue;
--- a/src/core/Pool.cpp
+++ b/src/core/Pool.cpp
@@ -61,7 +61,7 @@
 
     using MembersByRange = std::map<LayerRange, std::vector<EndpointIndex>>;
 
-    Pool poolOf(RouteKind kind, uint32_t layers, MembersByRange byRange)
+    Pool poolOf(RouteKind kind, uint32_t layers, const MembersByRange& byRange)
     {
         Pool pool;
         pool.kind = kind;
@@ -75,9 +75,8 @@
             pool.boundaries.push_back(layers);
         std::sort(pool.boundaries.begin(), pool.boundaries.end());
         pool.boundaries.erase(std::unique(pool.boundaries.begin(), pool.boundaries.end()), pool.boundaries.end());
-        for (auto& [range, members] : byRange)
-            pool.groups.push_back(
-                { range, boundaryIndex(pool, range.first), boundaryIndex(pool, range.end), std::move(members) });
+        for (const auto& [range, members] : byRange)
+            pool.groups.push_back({ range, boundaryIndex(pool, range.first), boundaryIndex(pool, range.end), members });
         pool.isCovered = coversAll(pool);
         return pool;
     }
@@ -93,9 +92,9 @@
         std::vector<Pool> parts;
         auto local = byDataCentre.extract(own);
         // Without own endpoints an empty part stands first.
-        parts.push_back(poolOf(pool.kind, pool.layers, local ? std::move(local.mapped()) : MembersByRange()));
+        parts.push_back(poolOf(pool.kind, pool.layers, local ? local.mapped() : MembersByRange()));
         for (auto& it : byDataCentre)
-            parts.push_back(poolOf(pool.kind, pool.layers, std::move(it.second)));
+            parts.push_back(poolOf(pool.kind, pool.layers, it.second));
         return parts;
     }
 
@@ -125,7 +124,7 @@
         auto& all = kept[range] = std::move(members.local);
         all.insert(all.end(), members.remote.begin(), members.remote.end());
     }
-    auto pool = poolOf(route.kind, layers, std::move(kept));
+    auto pool = poolOf(route.kind, layers, kept);
     if (layers)
         pool.dataCentres = partsOf(pool, book, settings.dataCentre);
     return pool;
--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -35,7 +35,8 @@
 
         bool isEmpty() const { return !layers.count() && !known->isBusy && !known->isLeaving; }
         bool covers() const { return layers.count() && !known->isLeaving; }
-        bool isCrowded() const { return covers() && layers.count() > usual; }
+        // Ranges are cut to whole layers, so that one layer more than usual is no reason to move.
+        bool isCrowded() const { return covers() && layers.count() > usual + 1; }
     };
 
     double memoryOf(const ModelLayout& model, const std::string& accelerator)
@@ -146,20 +147,30 @@
         if (!model.usualTokens || !model.headSlots)
             return std::max<size_t>(1, static_cast<size_t>(memory * copyShare / weights));
         size_t best = 1;
-        for (size_t n = 2; static_cast<double>(n) * weights < memory; ++n) {
+        for (size_t n = 2; static_cast<double>(n) * weights <= memory * weightShare; ++n) {
             if (flowOf(model, engines, memory, n) > flowOf(model, engines, memory, best))
                 best = n;
         }
         return best;
     }
 
-    // Deals the engines out in turn, so that each copy receives its part of the large ones, and cuts each copy in the
-    // order of the engines. Returns false, and orders nothing, when a copy does not fit its engines.
-    bool cutCopies(const ModelLayout& model, const std::vector<Engine*>& engines, size_t n)
+    // Gives each engine to the copy with the least memory so far, so that all copies have about the same.
+    std::vector<std::vector<Engine*>> dealOut(const std::vector<Engine*>& engines, size_t n)
     {
         std::vector<std::vector<Engine*>> copies(n);
-        for (size_t i = 0; i < engines.size(); ++i)
-            copies[i % n].push_back(engines[i]);
+        std::vector<double> memory(n);
+        for (auto* it : engines) {
+            auto least = static_cast<size_t>(std::min_element(memory.begin(), memory.end()) - memory.begin());
+            copies[least].push_back(it);
+            memory[least] += it->memoryMb;
+        }
+        return copies;
+    }
+
+    // Cuts each copy in the order of its engines. Returns false, and orders nothing, when a copy does not fit them.
+    bool cutCopies(const ModelLayout& model, const std::vector<Engine*>& engines, size_t n)
+    {
+        auto copies = dealOut(engines, n);
         std::vector<std::vector<LayerRange>> ranges;
         for (auto& copy : copies) {
             keepLargest(copy, maxChainStages);
@@ -388,9 +399,11 @@
             return;
         for (auto* it : local) {
             auto range = it->layers;
-            while (it->covers() && range.count() > it->usual && copies[range.first] > 1)
+            if (!it->isCrowded())
+                continue;
+            while (range.count() > it->usual && copies[range.first] > 1)
                 --copies[range.first++];
-            while (it->covers() && range.count() > it->usual && copies[range.end - 1] > 1)
+            while (range.count() > it->usual && copies[range.end - 1] > 1)
                 --copies[--range.end];
             if (range != it->layers)
                 order(*it, range);
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -143,6 +143,8 @@
     m_isReading = isReading;
     m_readingSince = m_clock.now();
     m_hasRead = {};
+    // Own reads may change the list, so that the source has to send it again.
+    m_last.endpointsRevision = 0;
     m_journal.write(LineKind::Info, "facts-source", { { "source", source }, { "hosts", m_sources.hosts() } });
     m_change.notify();
 }
--- a/test/core/LayerPlacementTest.cpp
+++ b/test/core/LayerPlacementTest.cpp
@@ -167,6 +167,43 @@
     CHECK(headsOf(small) == 1);
 }
 
+// Engines that had just received their part of a third copy were ordered to give layers back, as crowded ones, so that
+// a head was left whose next layers no engine of its copy held: its slots were never used.
+TEST_CASE("a layout that was just made is left as it is")
+{
+    auto model = usersModel();
+    model.headSlots = 192;
+    struct Site {
+        int h100;
+        int a100s;
+        int l4;
+        int t4;
+    };
+    for (double tokenKvBytes : { 360000.0, 426000.0, 590000.0 }) {
+        for (uint32_t usualTokens : { 0U, 900U, 950U }) {
+            for (auto site :
+                { Site { 0, 4, 9, 14 }, Site { 0, 2, 13, 22 }, Site { 0, 1, 22, 12 }, Site { 1, 3, 26, 12 },
+                    Site { 1, 5, 14, 25 }, Site { 0, 5, 14, 24 }, Site { 1, 2, 20, 9 }, Site { 0, 4, 11, 18 },
+                    Site { 1, 2, 14, 7 }, Site { 0, 3, 7, 15 }, Site { 0, 3, 3, 5 }, Site { 1, 1, 5, 7 } }) {
+                CAPTURE(tokenKvBytes);
+                CAPTURE(usualTokens);
+                CAPTURE(site.a100s);
+                CAPTURE(site.t4);
+                model.tokenKvBytes = tokenKvBytes;
+                model.usualTokens = usualTokens;
+                std::vector<PlacedEngine> engines;
+                add(engines, "north", "h100", site.h100);
+                add(engines, "north", "a100s", site.a100s);
+                add(engines, "north", "l4", site.l4);
+                add(engines, "north", "t4", site.t4);
+                carryOut(engines, planPlacement(model, engines));
+                CHECK(missingLayers(engines, "north") == 0);
+                CHECK(planPlacement(model, engines).empty());
+            }
+        }
+    }
+}
+
 TEST_CASE("a copy uses no more engines than a chain may have stages")
 {
     std::vector<PlacedEngine> engines;
