--- a/test/core/FactSourcesTest.cpp
+++ b/test/core/FactSourcesTest.cpp
@@ -222,6 +222,7 @@
     explicit FrozenReader(Duration searchTime)
     {
         std::vector<PeerHost> all;
+        all.reserve(daemons);
         for (int i = 0; i < daemons; ++i)
             all.push_back({ HostId("n" + std::to_string(100 + i)), north, "10.1.0.1:7340", 100 });
         for (int i = 0; i < daemons; ++i) {
--- a/test/core/SharedLoadTest.cpp
+++ b/test/core/SharedLoadTest.cpp
@@ -171,9 +171,9 @@
         Replay replay(exchange);
         replay.run(62, 20s);
         CHECK(replay.outcome().refused == 0);
-        for (const auto& [head, most] : replay.outcome().most) {
-            CAPTURE(head.value());
-            CHECK(most <= crowdedSlots);
+        for (const auto& it : replay.outcome().most) {
+            CAPTURE(it.first.value());
+            CHECK(it.second <= crowdedSlots);
         }
     }
 }
@@ -184,9 +184,9 @@
     replay.run(62, 8s);
     replay.run(186, 8s);
     const auto swing = replay.outcome();
-    for (const auto& [head, most] : swing.most) {
-        CAPTURE(head.value());
-        CHECK(most <= static_cast<int>(headSlots) + shortQueue);
+    for (const auto& it : swing.most) {
+        CAPTURE(it.first.value());
+        CHECK(it.second <= static_cast<int>(headSlots) + shortQueue);
     }
     CHECK(swing.refused < swing.arrived / 20);
     replay.run(62, 3s);
