Plan around engines that are occupied, and learn of lost ones from the heads' reports

The planner learned of a lost engine in another data centre only when its entry lapsed, 4 s later: only daemons whose requests stall ask the head of a chain, and they tell nobody else. Change: a refusing engine counts as busy with the layers that its report names; the reader of each data centre, which asks all heads twice per second, takes the endpoints that they wait for as silent.

--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -1,43 +1,30 @@
-// Placement of layers: a first copy in proportion to memory, then gaps, then further copies of the scarcest layers.
+// Placement of layers: whole copies first, then gaps, then memory for requests where it is scarce.
 
 #include "spindlecore/LayerPlacement.h"
 
+#include "placement/PlacementEngine.h"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
 
 namespace jacinthspindle {
 
+using namespace placement;
+
 namespace {
 
-    // Part of an engine's memory that a copy of the layers may take. The rest holds the KV cache of requests: an engine
-    // that is filled with weights preempts requests instead of serving them.
+    // Part of an engine's memory that its layers take for good. The rest holds the KV cache of requests: an engine that
+    // is filled with weights preempts requests instead of serving them.
     constexpr double weightShare = 0.7;
     // An engine that extends its range into a gap may fill more, since chains across data centres share one slow pipe.
     // It keeps KV memory for this many tokens: about half of the streams of a data centre at the users' peak.
     constexpr double leastTokens = 25000;
-
-    // Part of a data centre's memory that whole copies of the model may take where the size of requests is not
-    // declared.
-    constexpr double copyShare = 0.6;
-    // Each stage adds this part of the pure time of a token, because a token waits for the pass in progress.
-    constexpr double stageShare = 0.04;
-
-    constexpr double bytesPerMb = 1e6;
-
-    struct Engine {
-        const PlacedEngine* known = nullptr;
-        LayerRange layers; // As known, then as ordered.
-        double memoryMb = 0; // 0 for an unknown kind.
-        uint32_t usual = 0; // Layers within weightShare.
-        uint32_t extended = 0; // Layers that leave memory for leastTokens.
-        bool isOrdered = false;
-
-        bool isEmpty() const { return !layers.count() && !known->isBusy && !known->isLeaving; }
-        bool covers() const { return layers.count() && !known->isLeaving; }
-        // Ranges are cut to whole layers, so that one layer more than usual is no reason to move.
-        bool isCrowded() const { return covers() && layers.count() > usual + 1; }
-    };
+    // A data centre with a gap is cut anew if that leaves this many times the memory that its neighbours' extension
+    // does.
+    constexpr double anewGain = 1.5;
+    // An engine gives up layers that others hold if the data centre's scarcity falls by this part.
+    constexpr double leastRelief = 0.05;
 
     double memoryOf(const ModelLayout& model, const std::string& accelerator)
     {
@@ -50,15 +37,10 @@
         return model.layerMb > 0 ? static_cast<uint32_t>(memoryMb / model.layerMb) : 0;
     }
 
-    double tokensBeside(const ModelLayout& model, double memoryMb, uint32_t n)
-    {
-        return model.tokensBeside({ memoryMb }, n);
-    }
-
     uint32_t extendedCapacity(const ModelLayout& model, double memoryMb)
     {
         auto n = capacityWithin(model, memoryMb);
-        while (n && tokensBeside(model, memoryMb, n) < leastTokens)
+        while (n && model.tokensBeside({ memoryMb }, n) < leastTokens)
             --n;
         return n;
     }
@@ -75,128 +57,6 @@
         return copies;
     }
 
-    void order(Engine& engine, LayerRange layers)
-    {
-        engine.layers = layers;
-        engine.isOrdered = true;
-    }
-
-    // Cuts the model into ranges in proportion to memory, in the order of the engines, so that every stage has KV
-    // memory for about as many tokens. Returns one range for each engine, or nothing when their memory holds no whole
-    // copy.
-    std::vector<LayerRange> tile(const ModelLayout& model, const std::vector<Engine*>& engines)
-    {
-        double memory = 0;
-        uint32_t capacity = 0;
-        for (const auto* it : engines) {
-            memory += it->extended ? it->memoryMb : 0;
-            capacity += it->extended;
-        }
-        if (capacity < model.layers)
-            return {};
-        std::vector<LayerRange> ranges;
-        uint32_t first = 0;
-        uint32_t behind = capacity; // What the engines behind the present one can hold.
-        double before = 0;
-        for (const auto* it : engines) {
-            before += it->extended ? it->memoryMb : 0;
-            behind -= it->extended;
-            auto end = static_cast<uint32_t>(std::lround(model.layers * before / memory));
-            uint32_t least = model.layers > behind ? model.layers - behind : 0;
-            end = std::min({ std::max({ end, least, first }), first + it->extended, model.layers });
-            ranges.push_back({ first, end });
-            first = end;
-        }
-        return ranges;
-    }
-
-    // Drops the smallest engines beyond n and keeps the order of the others.
-    void keepLargest(std::vector<Engine*>& engines, size_t n)
-    {
-        if (engines.size() <= n)
-            return;
-        auto bySize = engines;
-        std::stable_sort(
-            bySize.begin(), bySize.end(), [](const Engine* a, const Engine* b) { return a->memoryMb > b->memoryMb; });
-        bySize.resize(n);
-        std::erase_if(engines, [&](Engine* it) { return std::find(bySize.begin(), bySize.end(), it) == bySize.end(); });
-    }
-
-    // Requests per time that n copies can serve, in a unit that is the same for each n. Requests in flight are bounded
-    // by the memory that the copies leave and by the slots of the engines at the head of the chains, one for each copy.
-    // More copies have shorter chains, which answer faster.
-    double flowOf(const ModelLayout& model, const std::vector<Engine*>& engines, double memoryMb, size_t n)
-    {
-        auto copies = static_cast<double>(n);
-        double perRequest = model.tokenKvBytes * model.usualTokens / bytesPerMb;
-        double inMemory = (memoryMb - copies * model.layers * model.layerMb) / perRequest;
-        double inFlight = std::min(inMemory, copies * model.headSlots);
-        double stages = std::min<double>(static_cast<double>(engines.size()) / copies, maxChainStages);
-        return inFlight / (1 + stageShare * stages);
-    }
-
-    // Copies of the model that the engines hold together, while their weights leave enough memory for requests.
-    size_t copiesIn(const ModelLayout& model, const std::vector<Engine*>& engines)
-    {
-        double memory = 0;
-        for (const auto* it : engines)
-            memory += it->memoryMb;
-        double weights = model.layers * model.layerMb;
-        if (weights <= 0)
-            return 1;
-        if (!model.usualTokens || !model.headSlots)
-            return std::max<size_t>(1, static_cast<size_t>(memory * copyShare / weights));
-        size_t best = 1;
-        for (size_t n = 2; static_cast<double>(n) * weights <= memory * weightShare; ++n) {
-            if (flowOf(model, engines, memory, n) > flowOf(model, engines, memory, best))
-                best = n;
-        }
-        return best;
-    }
-
-    // Gives each engine to the copy with the least memory so far, so that all copies have about the same.
-    std::vector<std::vector<Engine*>> dealOut(const std::vector<Engine*>& engines, size_t n)
-    {
-        std::vector<std::vector<Engine*>> copies(n);
-        std::vector<double> memory(n);
-        for (auto* it : engines) {
-            auto least = static_cast<size_t>(std::min_element(memory.begin(), memory.end()) - memory.begin());
-            copies[least].push_back(it);
-            memory[least] += it->memoryMb;
-        }
-        return copies;
-    }
-
-    // Cuts each copy in the order of its engines. Returns false, and orders nothing, when a copy does not fit them.
-    bool cutCopies(const ModelLayout& model, const std::vector<Engine*>& engines, size_t n)
-    {
-        auto copies = dealOut(engines, n);
-        std::vector<std::vector<LayerRange>> ranges;
-        for (auto& copy : copies) {
-            keepLargest(copy, maxChainStages);
-            ranges.push_back(tile(model, copy));
-            if (ranges.back().empty())
-                return false;
-        }
-        for (size_t i = 0; i < n; ++i) {
-            for (size_t k = 0; k < copies[i].size(); ++k) {
-                if (ranges[i][k].count() && ranges[i][k] != copies[i][k]->layers)
-                    order(*copies[i][k], ranges[i][k]);
-            }
-        }
-        return true;
-    }
-
-    // Cuts as many copies as the engines hold; false when they do not hold one.
-    bool cutMostCopies(const ModelLayout& model, const std::vector<Engine*>& engines)
-    {
-        for (auto n = copiesIn(model, engines); n; --n) {
-            if (cutCopies(model, engines, n))
-                return true;
-        }
-        return false;
-    }
-
     // The first copies of a data centre whose engines are all empty.
     void placeWholeCopies(const ModelLayout& model, std::vector<Engine*> engines)
     {
@@ -217,44 +77,29 @@
         return cutMostCopies(model, engines);
     }
 
-    // Layers that crowded engines could give back if the window had another copy: those at the edges of their ranges.
-    uint32_t reliefBy(LayerRange window, const std::vector<Engine*>& engines)
+    // Grows the more requests compete for the layers with the least memory; a missing layer outweighs all others.
+    double scarcityOf(const std::vector<double>& tokensPerLayer)
     {
-        uint32_t relief = 0;
-        for (const auto* it : engines) {
-            if (!it->isCrowded())
-                continue;
-            const auto& held = it->layers;
-            bool coversFront = window.contains(held.first);
-            bool coversBack = window.contains(held.end - 1);
-            uint32_t front = coversFront ? std::min(window.end, held.end) - held.first : 0;
-            uint32_t back = coversBack ? held.end - std::max(window.first, held.first) : 0;
-            relief += std::min(held.count() - it->usual, std::max(front, back));
-        }
-        return relief;
+        double sum = 0;
+        for (auto tokens : tokensPerLayer)
+            sum += 1 / std::pow(std::max(1.0, tokens), 2);
+        return sum;
     }
 
-    // The window of n layers with the fewest copies; copies in the own data centre weigh more than those elsewhere.
-    // Among windows with as many copies, those that relieve crowded engines come first.
-    LayerRange scarcestWindow(const std::vector<uint32_t>& local, const std::vector<uint32_t>& all,
-        const std::vector<Engine*>& engines, uint32_t n)
+    // The window of n layers to which an empty engine with that much memory beside them adds most.
+    LayerRange scarcestWindow(const std::vector<double>& tokensPerLayer, double added, uint32_t n)
     {
-        auto layers = static_cast<uint32_t>(local.size());
-        // A layer without a copy in the data centre outweighs any number of layers with one.
-        constexpr double missingWeight = 1000;
-        constexpr double reliefWeight = 0.5; // Of one layer.
-        auto gain = [&](uint32_t layer) {
-            double value = 1.0 / (1 + local[layer]) + 0.1 / (1 + all[layer]);
-            return local[layer] ? value : value + missingWeight;
-        };
         LayerRange best { 0, n };
         double bestGain = -1;
+        auto layers = static_cast<uint32_t>(tokensPerLayer.size());
         for (uint32_t first = 0; first + n <= layers; ++first) {
-            double sum = reliefWeight * reliefBy({ first, first + n }, engines);
-            for (uint32_t layer = first; layer < first + n; ++layer)
-                sum += gain(layer);
-            if (sum > bestGain + 1e-9) {
-                bestGain = sum;
+            std::vector<double> window(tokensPerLayer.begin() + first, tokensPerLayer.begin() + first + n);
+            double gain = scarcityOf(window);
+            for (auto& it : window)
+                it += added;
+            gain -= scarcityOf(window);
+            if (gain > bestGain * (1 + 1e-9)) {
+                bestGain = gain;
                 best = { first, first + n };
             }
         }
@@ -277,7 +122,7 @@
         return range;
     }
 
-    void fillEmpty(const ModelLayout& model, const std::vector<Engine*>& local, const std::vector<Engine*>& all)
+    void fillEmpty(const ModelLayout& model, const std::vector<Engine*>& local)
     {
         std::vector<Engine*> empty;
         for (auto* it : local) {
@@ -288,9 +133,10 @@
         std::stable_sort(
             empty.begin(), empty.end(), [](const Engine* a, const Engine* b) { return a->usual > b->usual; });
         for (auto* it : empty) {
-            auto copies = countCopies(model, local);
-            auto window = scarcestWindow(copies, countCopies(model, all), local, std::min(it->usual, model.layers));
-            order(*it, trimmed(window, copies));
+            auto n = std::min(it->usual, model.layers);
+            double added = model.tokensBeside({ it->memoryMb }, n);
+            auto window = scarcestWindow(tokensPerLayer(model, local), added, n);
+            order(*it, trimmed(window, countCopies(model, local)));
         }
     }
 
@@ -387,26 +233,63 @@
         }
     }
 
-    // Gives crowded engines back their memory for requests: layers at the edges of their ranges that have other copies.
-    void trimCrowded(const ModelLayout& model, const std::vector<Engine*>& local)
+    // The best range for an engine that gives up layers at its edges, each of which a steady engine holds as well.
+    struct GiveBack {
+        Engine* engine = nullptr;
+        LayerRange layers;
+        double scarcity = 0; // Of the data centre afterwards.
+    };
+
+    double scarcityWith(
+        const ModelLayout& model, const Engine& engine, LayerRange range, const std::vector<double>& tokensPerLayer)
     {
-        auto copies = countCopies(model, local);
-        bool isSettled = std::none_of(
-            local.begin(), local.end(), [](const Engine* it) { return it->known->isBusy || it->isOrdered; });
-        bool isWhole = std::all_of(copies.begin(), copies.end(), [](uint32_t n) { return n > 0; });
-        // While an order is in progress, a copy that is counted may not be there yet.
-        if (!isSettled || !isWhole)
-            return;
-        for (auto* it : local) {
-            auto range = it->layers;
-            if (!it->isCrowded())
-                continue;
-            while (range.count() > it->usual && copies[range.first] > 1)
-                --copies[range.first++];
-            while (range.count() > it->usual && copies[range.end - 1] > 1)
-                --copies[--range.end];
-            if (range != it->layers)
-                order(*it, range);
+        auto tokens = tokensPerLayer;
+        double before = model.tokensBeside({ engine.memoryMb }, engine.layers.count());
+        double after = model.tokensBeside({ engine.memoryMb }, range.count());
+        for (uint32_t layer = engine.layers.first; layer < engine.layers.end; ++layer)
+            tokens[layer] += (range.contains(layer) ? after : 0) - before;
+        return scarcityOf(tokens);
+    }
+
+    void considerGiveBack(const ModelLayout& model, Engine& engine, const std::vector<uint32_t>& copies,
+        const std::vector<double>& tokensPerLayer, GiveBack& best)
+    {
+        const auto& held = engine.layers;
+        for (uint32_t first = held.first; first < held.end; ++first) {
+            for (uint32_t end = held.end; end > first; --end) {
+                LayerRange range { first, end };
+                double scarcity = range == held ? best.scarcity : scarcityWith(model, engine, range, tokensPerLayer);
+                if (scarcity < best.scarcity)
+                    best = { &engine, range, scarcity };
+                if (copies[end - 1] < 2)
+                    break;
+            }
+            if (copies[first] < 2)
+                return;
+        }
+    }
+
+    // Gives engines their memory for requests back: layers at the edges of their ranges that others hold as well.
+    void giveBack(const ModelLayout& model, const std::vector<Engine*>& local)
+    {
+        std::vector<Engine*> steady;
+        std::copy_if(local.begin(), local.end(), std::back_inserter(steady),
+            [](const Engine* it) { return it->covers() && it->mayBeOrdered(); });
+        auto copies = countCopies(model, steady);
+        auto tokens = tokensPerLayer(model, local);
+        while (true) {
+            double before = scarcityOf(tokens);
+            GiveBack best { nullptr, {}, before * (1 - leastRelief) };
+            for (auto* it : steady) {
+                if (!it->isOrdered)
+                    considerGiveBack(model, *it, copies, tokens, best);
+            }
+            if (!best.engine)
+                return;
+            for (uint32_t layer = best.engine->layers.first; layer < best.engine->layers.end; ++layer)
+                copies[layer] -= best.layers.contains(layer) ? 0 : 1;
+            order(*best.engine, best.layers);
+            tokens = tokensPerLayer(model, local);
         }
     }
 
@@ -418,28 +301,61 @@
         return staying;
     }
 
-    // Places one data centre anew that misses layers. While its engines load, its requests use the others, so that only
-    // one is placed at a time, and only while another is whole or none is.
-    void placeOneAnew(const ModelLayout& model, const std::map<DataCentreId, std::vector<Engine*>>& groups)
+    std::vector<Engine> copyOf(const std::vector<Engine*>& engines)
+    {
+        std::vector<Engine> copy;
+        copy.reserve(engines.size());
+        for (const auto* it : engines)
+            copy.push_back(*it);
+        return copy;
+    }
+
+    void restore(const std::vector<Engine*>& engines, const std::vector<Engine>& copy)
+    {
+        for (size_t i = 0; i < engines.size(); ++i)
+            *engines[i] = copy[i];
+    }
+
+    // Closes the gaps of a data centre in the way that leaves more memory for requests. Returns true when it is cut
+    // anew.
+    bool repair(
+        const ModelLayout& model, const std::vector<Engine*>& local, const std::vector<Engine*>& all, bool mayCut)
+    {
+        if (gapsOf(countCopies(model, local)).empty())
+            return false;
+        auto before = copyOf(local);
+        closeGaps(model, local, all);
+        if (!mayCut)
+            return false;
+        auto extended = copyOf(local);
+        double tokens = tokensInFlight(model, local);
+        restore(local, before);
+        if (placeAnew(model, stayingOf(local)) && tokensInFlight(model, local) >= anewGain * tokens)
+            return true;
+        restore(local, extended);
+        return false;
+    }
+
+    using Groups = std::map<DataCentreId, std::vector<Engine*>>;
+
+    bool isBusy(const std::vector<Engine*>& local)
+    {
+        return std::any_of(
+            local.begin(), local.end(), [](const Engine* it) { return it->known->isBusy || it->isOrdered; });
+    }
+
+    // While the engines of a data centre that is cut anew load, its requests use the others: one is cut at a time, and
+    // only while another is whole or none is.
+    bool mayCutOne(const ModelLayout& model, const Groups& groups)
     {
-        std::vector<std::vector<Engine*>> broken;
         bool hasWhole = false;
         bool hasBusy = false;
         for (const auto& [dataCentre, local] : groups) {
-            bool isBusy = std::any_of(
-                local.begin(), local.end(), [](const Engine* it) { return it->known->isBusy || it->isOrdered; });
             bool isWhole = gapsOf(countCopies(model, local)).empty();
-            hasBusy = hasBusy || (isBusy && !isWhole);
-            hasWhole = hasWhole || (isWhole && !isBusy);
-            if (!isWhole && !isBusy)
-                broken.push_back(stayingOf(local));
-        }
-        if (!hasWhole && hasBusy)
-            return;
-        for (auto& engines : broken) {
-            if (placeAnew(model, engines))
-                return;
+            hasBusy = hasBusy || (isBusy(local) && !isWhole);
+            hasWhole = hasWhole || (isWhole && !isBusy(local));
         }
+        return hasWhole || !hasBusy;
     }
 
     std::vector<Engine> enginesOf(const ModelLayout& model, const std::vector<PlacedEngine>& known)
@@ -454,9 +370,9 @@
         return engines;
     }
 
-    std::map<DataCentreId, std::vector<Engine*>> byDataCentre(std::vector<Engine>& engines)
+    Groups byDataCentre(std::vector<Engine>& engines)
     {
-        std::map<DataCentreId, std::vector<Engine*>> groups;
+        Groups groups;
         for (auto& it : engines)
             groups[it.known->dataCentre].push_back(&it);
         return groups;
@@ -484,12 +400,14 @@
             staying.begin(), staying.end(), [](const Engine* it) { return it->layers.count() || it->known->isBusy; });
         if (isNew)
             placeWholeCopies(model, staying);
-        fillEmpty(model, local, all);
-        closeGaps(model, local, all);
-        trimCrowded(model, local);
+        fillEmpty(model, local);
+    }
+    bool mayCut = cutAnew == CutAnew::Allowed && mayCutOne(model, groups);
+    for (auto& [dataCentre, local] : groups) {
+        if (repair(model, local, all, mayCut && !isBusy(local)))
+            mayCut = false;
+        giveBack(model, local);
     }
-    if (cutAnew == CutAnew::Allowed)
-        placeOneAnew(model, groups);
     std::vector<PlacementOrder> orders;
     for (const auto& it : engines) {
         if (it.isOrdered)
@@ -510,17 +428,8 @@
 {
     auto engines = enginesOf(model, known);
     double tokens = 0;
-    for (const auto& [dataCentre, local] : byDataCentre(engines)) {
-        std::vector<double> perLayer(model.layers);
-        for (const auto* it : local) {
-            if (!it->covers())
-                continue;
-            double room = tokensBeside(model, it->memoryMb, it->layers.count());
-            for (uint32_t layer = it->layers.first; layer < std::min(it->layers.end, model.layers); ++layer)
-                perLayer[layer] += room;
-        }
-        tokens += perLayer.empty() ? 0 : *std::min_element(perLayer.begin(), perLayer.end());
-    }
+    for (const auto& [dataCentre, local] : byDataCentre(engines))
+        tokens += tokensInFlight(model, local);
     return tokens;
 }
 
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -4,6 +4,8 @@
 
 #include "spindlecore/internal/RetryBudget.h"
 
+#include <set>
+
 namespace jacinthspindle::router {
 
 namespace {
@@ -352,8 +354,27 @@
 {
     auto report = co_await m_ports.engines.report(head.address, headTimeout);
     // Without a report the head's load is what daemons tell; a silent head is found by the requests that wait for it.
-    if (report)
-        m_headLoad[head.endpoint] = { report->running + report->waiting, m_clock.now() };
+    if (!report)
+        co_return;
+    m_headLoad[head.endpoint] = { report->running + report->waiting, m_clock.now() };
+    // The planner learns of lost engines in data centres to which it sends no requests.
+    std::set<std::string> silent;
+    for (const auto& it : report->stalled)
+        silent.insert(it.address);
+    for (const auto& it : silent)
+        noteSilent(it, head);
+}
+
+void Control::noteSilent(const std::string& address, const EndpointSighting& head)
+{
+    for (const auto& it : m_directory.endpoints()) {
+        if (it.address != address || m_directory.isSilent(it.endpoint))
+            continue;
+        m_journal.write(LineKind::Warning, "endpoint-silent",
+            { { "endpoint", it.endpoint.value() }, { "head", head.address }, { "requests", 0 } });
+        m_directory.markSilent(it.endpoint);
+        apply(EndpointStateSeen { it.endpoint, EndpointStateSource::Engine, EndpointLife::Down });
+    }
 }
 
 std::vector<EndpointLoad> Control::withReports(std::vector<EndpointLoad> load) const
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -57,6 +57,8 @@
     // While this daemon reads the platform, asks the heads of chains for the requests of all daemons.
     net::awaitable<void> followHeads();
     net::awaitable<void> askHead(EndpointSighting head);
+    // A head waits for the endpoint at this address.
+    void noteSilent(const std::string& address, const EndpointSighting& head);
     // The load of the data centre's engines with what heads reported themselves.
     std::vector<EndpointLoad> withReports(std::vector<EndpointLoad>) const;
     void noteDependency(bool& isUp, bool isUpNow, const char* name, const Reason&);
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -122,7 +122,9 @@
         bool isLost = m_directory.isSilent(it.endpoint);
         PlacedEngine engine { it.endpoint, it.dataCentre, it.accelerator, it.layers, false, it.isLeaving || isLost };
         auto ordered = m_ordered.find(it.endpoint);
-        if (ordered != m_ordered.end() && (ordered->second.layers == it.layers || now >= ordered->second.until))
+        bool isShown
+            = ordered != m_ordered.end() && !ordered->second.isOccupied && ordered->second.layers == it.layers;
+        if (isShown || (ordered != m_ordered.end() && now >= ordered->second.until))
             m_ordered.erase(ordered);
         else if (ordered != m_ordered.end()) {
             engine.layers = ordered->second.layers;
@@ -153,7 +155,7 @@
         const auto* endpoint = m_directory.find(order.endpoint);
         if (!endpoint)
             continue;
-        m_ordered[order.endpoint] = { order.layers, now + callTimeout * 2 };
+        m_ordered[order.endpoint] = { order.layers, now + callTimeout * 2, false };
         net::co_spawn(m_io, carryOut(*endpoint, order.layers, model), net::detached);
     }
 }
@@ -164,7 +166,7 @@
     auto report = co_await m_control.report(endpoint.address, callTimeout);
     auto now = m_clock.now();
     auto note = [&](const char* outcome, Duration until) {
-        m_ordered[endpoint.endpoint] = { layers, m_clock.now() + until };
+        m_ordered[endpoint.endpoint] = { layers, m_clock.now() + until, false };
         m_journal.write(LineKind::Info, "placement-order",
             { { "endpoint", endpoint.endpoint.value() }, { "from", layers.first }, { "to", layers.end },
                 { "accepted_orders", report ? report->acceptedOrders : 0 }, { "outcome", outcome } });
@@ -172,8 +174,12 @@
     if (!report)
         co_return note("no report", failedOrderPause);
     // An order is in progress, or one was carried out that the list does not show yet.
-    if (report->isBusy || report->layers != endpoint.layers)
-        co_return note("has other work", busyPause);
+    if (report->isBusy || report->layers != endpoint.layers) {
+        note("has other work", busyPause);
+        // The next plan does without it: it may finish requests for seconds before it takes an order.
+        m_ordered[endpoint.endpoint] = { report->layers, m_clock.now() + busyPause, true };
+        co_return;
+    }
     if (!m_lease.isHolder(now))
         co_return note("lease lost", failedOrderPause);
     // The process may be suspended until the order is written.
--- a/src/router/LayoutPlanner.h
+++ b/src/router/LayoutPlanner.h
@@ -26,10 +26,12 @@
     void resign() { m_lease.resign(); }
 
 private:
-    // An order that was or may have been accepted.
+    // What is known of an engine beside its entry in the list, after an attempt to order it.
     struct Ordered {
-        LayerRange layers;
-        Instant until {}; // When the engine's own entry should show the layers; the entry decides again from then on.
+        LayerRange layers; // That it holds or will hold.
+        Instant until {}; // The engine's own entry decides again from then on.
+        // It refused, because it carries out another order. Otherwise the entry decides as soon as it shows the layers.
+        bool isOccupied = false;
     };
 
     net::awaitable<void> advanceLease();
