Cut the model evenly, anew after a loss where that leaves more memory, and give memory back where it is scarce

Cause: a gap was closed by its neighbours down to 25,000 tokens beside the weights, so that the data centre fell to a third of its memory for requests, and further with each engine that a release replaced (release pattern: a tenth). Where the neighbours had no room, the data centre was out for six seconds. Ruled out: the number of copies (one fits), the slots of heads (under 170 of 192 taken), orders refused by engines.

--- a/include/spindlecore/LayerPlacement.h
+++ b/include/spindlecore/LayerPlacement.h
@@ -27,20 +27,15 @@
     bool operator==(const PlacementOrder&) const = default;
 };
 
-// Whether a data centre may be cut anew. Engines that give up layers first finish the requests that pass through them,
-// which takes seconds, so that it is no answer to a loss that is soon made good.
-enum class CutAnew : uint8_t { Allowed, Forbidden };
-
 // Returns the orders that bring the engines closer to whole copies of the model in each data centre whose memory
 // holds one; more than one where memory allows, so that chains stay short. Engines without layers fill the gaps of
-// their data centre first and then hold the layers that have the fewest copies. Where no such engine is left, the
-// neighbours of a gap extend their ranges, as long as each keeps memory for requests; failing that, an engine whose
-// layers have other copies in the data centre moves into the gap, or the model is cut anew over the engines of one data
-// centre. Once a data centre is whole, engines that extended their ranges give back layers that have other copies. No
-// order exceeds the memory of an engine. Only the last way gives up layers without another copy in the data centre,
-// which misses some already.
-std::vector<PlacementOrder> planPlacement(
-    const ModelLayout&, const std::vector<PlacedEngine>&, CutAnew = CutAnew::Allowed);
+// their data centre first and then hold the layers with the least memory for requests. Where no such engine is left,
+// the neighbours of a gap extend their ranges, as long as each keeps memory for requests, or an engine whose layers
+// have other copies in the data centre moves into the gap. Where that leaves much less memory for requests than a cut
+// of the model over all engines of the data centre, one data centre is cut anew: no chain passes through it while it
+// misses layers. Engines give back layers that others hold as well where memory for requests is scarce. No order
+// exceeds the memory of an engine, and only a cut gives up layers without another copy in the data centre.
+std::vector<PlacementOrder> planPlacement(const ModelLayout&, const std::vector<PlacedEngine>&);
 
 // True when some data centre with engines misses a layer, counting layers that are being loaded.
 bool hasGap(const ModelLayout&, const std::vector<PlacedEngine>&);
--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -385,8 +385,7 @@
     return capacityWithin(model, memoryOf(model, accelerator));
 }
 
-std::vector<PlacementOrder> planPlacement(
-    const ModelLayout& model, const std::vector<PlacedEngine>& known, CutAnew cutAnew)
+std::vector<PlacementOrder> planPlacement(const ModelLayout& model, const std::vector<PlacedEngine>& known)
 {
     auto engines = enginesOf(model, known);
     std::vector<Engine*> all;
@@ -402,7 +401,7 @@
             placeWholeCopies(model, staying);
         fillEmpty(model, local);
     }
-    bool mayCut = cutAnew == CutAnew::Allowed && mayCutOne(model, groups);
+    bool mayCut = mayCutOne(model, groups);
     for (auto& [dataCentre, local] : groups) {
         if (repair(model, local, all, mayCut && !isBusy(local)))
             mayCut = false;
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -23,8 +23,6 @@
     constexpr milliseconds failedOrderPause { 800 };
     // An engine that is busy finishes requests, which takes seconds.
     constexpr milliseconds busyPause { 2000 };
-    // A gap that is as old as this stays: engines that crash are mostly back within five seconds.
-    constexpr milliseconds cutAnewAfter { 6000 };
 
 } // namespace
 
@@ -122,8 +120,7 @@
         bool isLost = m_directory.isSilent(it.endpoint);
         PlacedEngine engine { it.endpoint, it.dataCentre, it.accelerator, it.layers, false, it.isLeaving || isLost };
         auto ordered = m_ordered.find(it.endpoint);
-        bool isShown
-            = ordered != m_ordered.end() && !ordered->second.isOccupied && ordered->second.layers == it.layers;
+        bool isShown = ordered != m_ordered.end() && !ordered->second.isOccupied && ordered->second.layers == it.layers;
         if (isShown || (ordered != m_ordered.end() && now >= ordered->second.until))
             m_ordered.erase(ordered);
         else if (ordered != m_ordered.end()) {
@@ -139,17 +136,12 @@
 {
     auto now = m_clock.now();
     auto engines = enginesOf(service, now);
-    if (!hasGap(model, engines))
-        m_gapSince.erase(service);
-    else
-        m_gapSince.try_emplace(service, now);
-    bool isLasting = m_gapSince.contains(service) && now - m_gapSince[service] >= cutAnewAfter;
-    auto orders = planPlacement(model, engines, isLasting ? CutAnew::Allowed : CutAnew::Forbidden);
+    auto orders = planPlacement(model, engines);
     if (orders.empty())
         co_return;
     m_journal.write(LineKind::Info, "placement-planned",
         { { "service", service }, { "engines", engines.size() }, { "orders", orders.size() },
-            { "list_age_ms", millisecondsOf(now - m_directory.updatedAt()) }, { "may_cut_anew", isLasting },
+            { "list_age_ms", millisecondsOf(now - m_directory.updatedAt()) }, { "has_gap", hasGap(model, engines) },
             { "tokens_before", placementTokens(model, engines) } });
     for (const auto& order : orders) {
         const auto* endpoint = m_directory.find(order.endpoint);
