Use the pace that engines report in chains, in the layout and in the choice of the data centre

Nothing read the pace. Ruled out: memory (under 60 % used), slots (140 of 192), the return of all daemons (the other data centres were normal). Change: the reader of a data centre asks its engines each second; the pace is passed on with the list of endpoints and multiplies the times of the engine. A chain with an engine of pace 2 or more is compared with those of the other data centres. The memory of a slow engine counts less in the layout, and its copy of a layer is no reason to give up another.

--- a/include/spindlecore/Decisions.h
+++ b/include/spindlecore/Decisions.h
@@ -151,9 +151,16 @@
     JACINTHSPINDLE_FIELDS(self.daemons)
 };
 
+// How much slower than its kind of accelerator an engine says that it works.
+struct PaceReported {
+    EndpointId endpoint;
+    uint32_t percent = 100; // Of the usual time of its kind.
+    JACINTHSPINDLE_FIELDS(self.endpoint, self.percent)
+};
+
 using CoreInput = std::variant<RequestArrived, FirstToken, TokensProgressed, AttemptFailed, RequestFinished, CallerGone,
     LoadReported, CacheChanged, EndpointStateSeen, TableAdopted, ShareChanged, DrainStarted, Tick, RetryReserveChanged,
-    AcceleratorsDeclared, PeersCounted>;
+    AcceleratorsDeclared, PeersCounted, PaceReported>;
 
 // ---- Decisions.
 
--- a/include/spindlecore/LayerPlacement.h
+++ b/include/spindlecore/LayerPlacement.h
@@ -18,6 +18,7 @@
     LayerRange layers; // Held or being loaded; empty after a start.
     bool isBusy = false; // An order is being carried out.
     bool isLeaving = false; // It leaves or is lost: its layers do not count, and it receives no new ones.
+    double pace = 1; // Time that it takes, relative to its kind of accelerator.
 };
 
 // An engine is to hold these layers in place of those that it holds now.
--- a/include/spindlecore/Types.h
+++ b/include/spindlecore/Types.h
@@ -61,6 +61,8 @@
 
 // Engines refuse requests whose chain has more stages.
 constexpr size_t maxChainStages = 32;
+// An engine that reports this pace works too slowly to be relied on: the time of a chain is the sum of its stages.
+constexpr double slowPace = 2;
 
 // One stage of a chain: the endpoint and the exact layers that it runs.
 struct StageHop {
--- a/include/spindlecore/internal/ChainPlanner.h
+++ b/include/spindlecore/internal/ChainPlanner.h
@@ -62,6 +62,7 @@
     double firstToken = 0; // Expected seconds to the first token.
     double perToken = 0; // Expected seconds between tokens.
     bool expectsHit = false;
+    bool isSlow = false; // Some endpoint says that it works much slower than its kind.
 };
 
 class ChainPlanner {
--- a/include/spindlecore/internal/CoreState.h
+++ b/include/spindlecore/internal/CoreState.h
@@ -96,6 +96,7 @@
     void apply(Instant, const RetryReserveChanged&, Decisions&);
     void apply(Instant, const AcceleratorsDeclared&, Decisions&);
     void apply(Instant, const PeersCounted&, Decisions&);
+    void apply(Instant, const PaceReported&, Decisions&);
     void apply(Instant, const DrainStarted&, Decisions&);
     void apply(Instant, const Tick&, Decisions&);
     CoreStatus status() const;
--- a/include/spindlecore/internal/EndpointBook.h
+++ b/include/spindlecore/internal/EndpointBook.h
@@ -32,6 +32,7 @@
     bool hasReport = false;
     std::deque<std::pair<Instant, int32_t>> changes; // Recent changes of own, to find ownAtReport.
 
+    double pace = 1; // Time relative to the endpoint's kind of accelerator, as the endpoint reports it.
     double factor = 1; // Measured time relative to the endpoint's kind of accelerator.
     double limit = 0; // Own attempts allowed while there is no fresh report; adapts to the measured latency.
 
@@ -69,6 +70,7 @@
     // one: a daemon that hears nothing must not take crowded engines for idle ones.
     void setPeers(uint32_t daemons) { m_peers = std::max(1U, daemons); }
     uint32_t peers() const { return m_peers; }
+    void setPace(const EndpointId&, double pace);
     // Index of a kind of accelerator.
     uint32_t kindOf(const std::string& accelerator);
 
--- a/src/adapters/TraceText.cpp
+++ b/src/adapters/TraceText.cpp
@@ -111,6 +111,10 @@
         {
             out << "times of " << it.accelerators.size() << " kinds of accelerators";
         }
+        void operator()(const PaceReported& it) const
+        {
+            out << "endpoint " << it.endpoint.value() << " takes " << it.percent << " % of the usual time";
+        }
         void operator()(const PeersCounted& it) const { out << "daemons of the data centre " << it.daemons; }
         void operator()(const Tick& it) const { out << "tick " << it.number; }
         void operator()(const Dispatch& it) const
--- a/src/core/ChainPlanner.cpp
+++ b/src/core/ChainPlanner.cpp
@@ -25,6 +25,8 @@
     // Searches for a chain that engines accept; each one costs as much as the first.
     constexpr int maxPriceSteps = 6;
     constexpr double priceGrowth = 4;
+    // A chain of another data centre must be this much faster, since its events cross.
+    constexpr double leastGain = 1.3;
     // Bounds the candidates that holders of a cached prefix add to a decision.
     constexpr size_t maxCandidates = 32;
 
@@ -145,15 +147,25 @@
     size_t n = pool.dataCentres.size();
     size_t others = std::max<size_t>(2, n) - 1;
     size_t turn = random() % others;
+    Plan best;
+    double bestCost = 0;
     for (size_t i = 0; i < n; ++i) {
         const auto& part = pool.dataCentres[i ? 1 + (turn + i) % others : 0];
         if (!part.isCovered)
             continue;
         auto plan = planWithin(now, part, request, random);
-        if (!plan.chain.empty())
-            return plan;
+        if (plan.chain.empty())
+            continue;
+        double cost = (plan.firstToken + request.tokens * plan.perToken) * (i ? leastGain : 1);
+        if (best.chain.empty() || cost < bestCost) {
+            best = std::move(plan);
+            bestCost = cost;
+        }
+        // Chains of other data centres are searched only while this one is slow.
+        if (!best.isSlow)
+            break;
     }
-    return {};
+    return best;
 }
 
 Plan ChainPlanner::planWithin(Instant now, const Pool& pool, const PlanRequest& request, std::mt19937_64& random)
@@ -264,6 +276,7 @@
         plan.firstToken += candidate.wait + layers.count() * candidate.prefill;
         uncached += candidate.uncached * layers.count() / pool.layers;
         plan.expectsHit = plan.expectsHit || candidate.uncached < 1;
+        plan.isSlow = plan.isSlow || m_book[candidate.index].pace >= slowPace;
     }
     plan.firstToken += plan.perToken;
     plan.promptTokens = request.promptTokens * uncached;
--- a/src/core/CoreState.cpp
+++ b/src/core/CoreState.cpp
@@ -379,6 +379,11 @@
     m_book.setPeers(input.daemons);
 }
 
+void CoreState::apply(Instant, const PaceReported& input, Decisions&)
+{
+    m_book.setPace(input.endpoint, input.percent / 100.0);
+}
+
 void CoreState::apply(Instant, const DrainStarted& input, Decisions&)
 {
     m_refuseNew = m_refuseNew || input.refuseNew;
--- a/src/core/EndpointBook.cpp
+++ b/src/core/EndpointBook.cpp
@@ -13,6 +13,8 @@
     // Bounds the memory for endpoints that a source names and the table does not.
     constexpr size_t maxUnknown = 4096;
     constexpr size_t maxChanges = 256;
+    // A report must not make an engine look so fast that it draws all requests.
+    constexpr double leastPace = 0.1;
 
 } // namespace
 
@@ -125,6 +127,12 @@
     entry.ownAtReport = static_cast<uint32_t>(std::max<int64_t>(0, own));
 }
 
+void EndpointBook::setPace(const EndpointId& id, double pace)
+{
+    if (const auto* index = find(id))
+        m_entries[*index].pace = std::max(leastPace, pace);
+}
+
 void EndpointBook::changeOwn(Instant now, EndpointIndex index, int32_t change)
 {
     auto& entry = m_entries[index];
--- a/src/core/ServiceModel.cpp
+++ b/src/core/ServiceModel.cpp
@@ -43,7 +43,8 @@
 LayerTime ServiceModel::layerTime(const EndpointEntry& entry) const
 {
     auto time = timeOf(entry.kind);
-    return { time.prefill * entry.factor, time.decode * entry.factor, time.perSequence * entry.factor };
+    double slowness = entry.factor * entry.pace;
+    return { time.prefill * slowness, time.decode * slowness, time.perSequence * slowness };
 }
 
 double ServiceModel::linkTime(const EndpointEntry& from, const EndpointEntry& to) const
--- a/src/core/placement/CopyCuts.cpp
+++ b/src/core/placement/CopyCuts.cpp
@@ -26,7 +26,7 @@
             size_t best = engines.size();
             double bestTokens = -1;
             for (size_t i = 0; i < engines.size(); ++i) {
-                double tokens = model.tokensBeside({ engines[i]->memoryMb }, counts[i] + 1);
+                double tokens = engines[i]->tokensBeside(model, counts[i] + 1);
                 if (counts[i] < engines[i]->extended && tokens > bestTokens) {
                     best = i;
                     bestTokens = tokens;
@@ -130,7 +130,7 @@
     for (const auto* it : engines) {
         if (!it->covers())
             continue;
-        double beside = model.tokensBeside({ it->memoryMb }, it->layers.count());
+        double beside = it->tokensBeside(model, it->layers.count());
         for (uint32_t layer = it->layers.first; layer < std::min(it->layers.end, model.layers); ++layer)
             tokens[layer] += beside;
     }
--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -134,7 +134,7 @@
             empty.begin(), empty.end(), [](const Engine* a, const Engine* b) { return a->usual > b->usual; });
         for (auto* it : empty) {
             auto n = std::min(it->usual, model.layers);
-            double added = model.tokensBeside({ it->memoryMb }, n);
+            double added = it->tokensBeside(model, n);
             auto window = scarcestWindow(tokensPerLayer(model, local), added, n);
             order(*it, trimmed(window, countCopies(model, local)));
         }
@@ -244,8 +244,8 @@
         const ModelLayout& model, const Engine& engine, LayerRange range, const std::vector<double>& tokensPerLayer)
     {
         auto tokens = tokensPerLayer;
-        double before = model.tokensBeside({ engine.memoryMb }, engine.layers.count());
-        double after = model.tokensBeside({ engine.memoryMb }, range.count());
+        double before = engine.tokensBeside(model, engine.layers.count());
+        double after = engine.tokensBeside(model, range.count());
         for (uint32_t layer = engine.layers.first; layer < engine.layers.end; ++layer)
             tokens[layer] += (range.contains(layer) ? after : 0) - before;
         return scarcityOf(tokens);
@@ -274,7 +274,7 @@
     {
         std::vector<Engine*> steady;
         std::copy_if(local.begin(), local.end(), std::back_inserter(steady),
-            [](const Engine* it) { return it->covers() && it->mayBeOrdered(); });
+            [](const Engine* it) { return it->covers() && it->mayBeOrdered() && !it->isSlow(); });
         auto copies = countCopies(model, steady);
         auto tokens = tokensPerLayer(model, local);
         while (true) {
--- a/src/core/placement/PlacementEngine.h
+++ b/src/core/placement/PlacementEngine.h
@@ -4,6 +4,8 @@
 
 #include "spindlecore/LayerPlacement.h"
 
+#include <algorithm>
+
 namespace jacinthspindle::placement {
 
 struct Engine {
@@ -15,6 +17,13 @@
     bool isOrdered = false;
 
     bool isEmpty() const { return !layers.count() && !known->isBusy && !known->isLeaving; }
+    // KV memory in tokens beside n layers. A slow engine keeps requests for longer in the same memory.
+    double tokensBeside(const ModelLayout& model, uint32_t n) const
+    {
+        return model.tokensBeside({ memoryMb }, n) / std::max(1.0, known->pace);
+    }
+    // Too slow to be the only one that holds a layer.
+    bool isSlow() const { return known->pace >= slowPace; }
     bool covers() const { return layers.count() && !known->isLeaving; }
     bool mayBeOrdered() const { return !known->isBusy && !known->isLeaving && !isOrdered; }
 };
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -21,6 +21,8 @@
     // Of the reports of chains' heads.
     constexpr milliseconds headInterval { 500 };
     constexpr milliseconds headTimeout { 300 };
+    // The other engines of the own data centre report their pace this many head intervals apart.
+    constexpr uint32_t paceIntervals = 2;
     // Older reports say nothing about the present.
     constexpr milliseconds longestHeadAge { 1500 };
     // A daemon that reads the platform itself takes over the load that others told it every this many ticks.
@@ -260,6 +262,15 @@
     m_traffic->publish(view);
     auto table = std::make_shared<const Table>(buildTable(*m_configuration, endpoints, ++m_revision));
     apply(TableAdopted { table });
+    std::map<EndpointId, uint32_t> paces;
+    for (const auto& it : endpoints) {
+        constexpr uint32_t usual = 100;
+        auto known = m_paces.find(it.endpoint);
+        if (it.pacePercent != (known == m_paces.end() ? usual : known->second))
+            apply(PaceReported { it.endpoint, it.pacePercent });
+        paces.emplace(it.endpoint, it.pacePercent);
+    }
+    m_paces = std::move(paces);
 }
 
 net::awaitable<void> Control::followEndpoints()
@@ -336,11 +347,13 @@
 net::awaitable<void> Control::followHeads()
 {
     net::steady_timer timer(m_io);
-    while (true) {
+    for (uint32_t number = 0;; ++number) {
         co_await m_sharing.untilReading();
         for (const auto& it : m_directory.endpoints()) {
-            if (it.layers.count() && !it.layers.first && !it.isLeaving && !m_directory.isSilent(it.endpoint))
-                net::co_spawn(m_io, askHead(it), net::detached);
+            bool isHead = !it.layers.first;
+            bool isDue = isHead || (number % paceIntervals == 0 && it.dataCentre == m_settings.dataCentre);
+            if (it.layers.count() && isDue && !it.isLeaving && !m_directory.isSilent(it.endpoint))
+                net::co_spawn(m_io, askEngine(it), net::detached);
         }
         timer.expires_after(headInterval);
         ErrorCode ec;
@@ -350,19 +363,26 @@
     }
 }
 
-net::awaitable<void> Control::askHead(EndpointSighting head)
+net::awaitable<void> Control::askEngine(EndpointSighting engine)
 {
-    auto report = co_await m_ports.engines.report(head.address, headTimeout);
+    auto report = co_await m_ports.engines.report(engine.address, headTimeout);
     // Without a report the head's load is what daemons tell; a silent head is found by the requests that wait for it.
     if (!report)
         co_return;
-    m_headLoad[head.endpoint] = { report->running + report->waiting, m_clock.now() };
-    // The planner learns of lost engines in data centres to which it sends no requests.
+    if (m_directory.notePace(engine.endpoint, report->pacePercent)) {
+        m_journal.write(LineKind::Info, "endpoint-pace",
+            { { "endpoint", engine.endpoint.value() }, { "percent", report->pacePercent } });
+        adoptEndpoints(true);
+    }
+    if (engine.layers.first)
+        co_return;
+    m_headLoad[engine.endpoint] = { report->running + report->waiting, m_clock.now() };
+    // For the planner, which may send no requests to that data centre. Chains avoid an endpoint once own requests wait.
     std::set<std::string> silent;
     for (const auto& it : report->stalled)
         silent.insert(it.address);
     for (const auto& it : silent)
-        noteSilent(it, head);
+        noteSilent(it, engine);
 }
 
 void Control::noteSilent(const std::string& address, const EndpointSighting& head)
@@ -373,7 +393,6 @@
         m_journal.write(LineKind::Warning, "endpoint-silent",
             { { "endpoint", it.endpoint.value() }, { "head", head.address }, { "requests", 0 } });
         m_directory.markSilent(it.endpoint);
-        apply(EndpointStateSeen { it.endpoint, EndpointStateSource::Engine, EndpointLife::Down });
     }
 }
 
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -56,7 +56,7 @@
     void declareAccelerators();
     // While this daemon reads the platform, asks the heads of chains for the requests of all daemons.
     net::awaitable<void> followHeads();
-    net::awaitable<void> askHead(EndpointSighting head);
+    net::awaitable<void> askEngine(EndpointSighting);
     // A head waits for the endpoint at this address.
     void noteSilent(const std::string& address, const EndpointSighting& head);
     // The load of the data centre's engines with what heads reported themselves.
@@ -86,6 +86,7 @@
         uint32_t requests = 0; // Running and waiting ones.
         Instant reportedAt {};
     };
+    std::map<EndpointId, uint32_t> m_paces; // As the core knows them.
     std::map<EndpointId, HeadLoad> m_headLoad; // Of all data centres; only while this daemon reads the platform.
     uint64_t m_revision = 0; // Of the table in the core.
     uint64_t m_endpointsRevision = 0; // Rises with each change of the endpoints, heartbeats left out.
--- a/src/router/EndpointDirectory.cpp
+++ b/src/router/EndpointDirectory.cpp
@@ -11,8 +11,12 @@
     m_isAway = false;
     m_updatedAt = now;
     std::map<EndpointId, EndpointSighting> next;
-    for (const auto& it : listed)
-        next.emplace(it.endpoint, it);
+    for (const auto& it : listed) {
+        auto& endpoint = next.emplace(it.endpoint, it).first->second;
+        // The platform does not list the pace.
+        if (const auto* known = find(it.endpoint))
+            endpoint.pacePercent = known->pacePercent;
+    }
     if (isWithinReturn(now)) {
         // A restarted endpoint has the address of the one that it replaces.
         auto hasAddress = [&](const std::string& address) {
@@ -85,6 +89,15 @@
     return hasChanged;
 }
 
+bool EndpointDirectory::notePace(const EndpointId& id, uint32_t percent)
+{
+    auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end() || it->second.pacePercent == percent)
+        return false;
+    it->second.pacePercent = percent;
+    return true;
+}
+
 void EndpointDirectory::markSilent(const EndpointId& id)
 {
     const auto* endpoint = find(id);
--- a/src/router/EndpointDirectory.h
+++ b/src/router/EndpointDirectory.h
@@ -36,6 +36,9 @@
     // Another daemon confirmed at updatedAt that the list is still the same.
     void confirm(Instant updatedAt) { m_updatedAt = std::max(m_updatedAt, updatedAt); }
 
+    // The endpoint reported its pace, which stays until it does so again. Returns true when it has changed.
+    bool notePace(const EndpointId&, uint32_t percent);
+
     // An engine reported that the endpoint does not answer.
     void markSilent(const EndpointId&);
     // Returns the endpoints that have sent a heartbeat since they were marked as silent, and forgets the marks.
--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -20,12 +20,12 @@
     Json encodeEndpoint(const EndpointSighting& it)
     {
         return Json::array({ it.endpoint.value(), it.instance, it.service, it.dataCentre.value(), it.address,
-            it.accelerator, it.slots, it.isLeaving, it.layers.first, it.layers.end, it.heartbeats });
+            it.accelerator, it.slots, it.isLeaving, it.layers.first, it.layers.end, it.heartbeats, it.pacePercent });
     }
 
     EndpointSighting decodeEndpoint(const Json& json)
     {
-        constexpr size_t members = 11;
+        constexpr size_t members = 12;
         if (!json.is_array() || json.size() != members)
             throw internal::JsonError("expected an endpoint");
         EndpointSighting it;
@@ -41,6 +41,7 @@
         it.isLeaving = json[7].get<bool>();
         it.layers = { internal::toNumber<uint32_t>(json[8]), internal::toNumber<uint32_t>(json[9]) };
         it.heartbeats = internal::toNumber<uint64_t>(json[10]);
+        it.pacePercent = internal::toNumber<uint32_t>(json[11]);
         return it;
     }
 
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -118,7 +118,8 @@
             continue;
         // The entry of a lost engine stays in the list for three heartbeats; its gap is closed sooner.
         bool isLost = m_directory.isSilent(it.endpoint);
-        PlacedEngine engine { it.endpoint, it.dataCentre, it.accelerator, it.layers, false, it.isLeaving || isLost };
+        PlacedEngine engine { it.endpoint, it.dataCentre, it.accelerator, it.layers, false, it.isLeaving || isLost,
+            it.pacePercent / 100.0 };
         auto ordered = m_ordered.find(it.endpoint);
         bool isShown = ordered != m_ordered.end() && !ordered->second.isOccupied && ordered->second.layers == it.layers;
         if (isShown || (ordered != m_ordered.end() && now >= ordered->second.until))
--- a/src/router/Ports.h
+++ b/src/router/Ports.h
@@ -46,6 +46,8 @@
     bool isLeaving = false;
     LayerRange layers; // Empty for a plain service and for an engine without layers.
     uint64_t heartbeats = 0; // Rises while the endpoint lives.
+    // Time that it takes, of the usual time of its kind of accelerator, by its last report; 100 before the first one.
+    uint32_t pacePercent = 100;
 
     bool operator==(const EndpointSighting&) const = default;
 };
@@ -94,6 +96,7 @@
     bool isBusy = false; // An order is in progress.
     uint32_t running = 0; // Requests of all daemons.
     uint32_t waiting = 0;
+    uint32_t pacePercent = 100; // See EndpointSighting.
     LayerRange layers;
     std::vector<StalledRequest> stalled;
 };
--- a/test/core/ChainPlannerTest.cpp
+++ b/test/core/ChainPlannerTest.cpp
@@ -228,6 +228,47 @@
         CHECK(names(fixture.plan().chain, "back-a"));
 }
 
+// An engine that had come back twelve times slower than its kind shared a layer range with a sound one. Each chain of the
+// data centre that took it waited for it, and four of five requests there were given up by their callers.
+TEST_CASE("an engine that reports a slow pace is left to others that hold its layers")
+{
+    Fixture fixture(tableOf({ test::engineRow("front", { 0, 6 }), test::engineRow("back-a", { 6, 12 }),
+        test::engineRow("back-b", { 6, 12 }) }));
+    fixture.book.setPace(EndpointId("back-b"), 12);
+    for (int i = 0; i < 50; ++i)
+        CHECK(names(fixture.plan().chain, "back-a"));
+    // The reports are as old as the daemon's knowledge of the endpoint.
+    fixture.book.setPace(EndpointId("back-b"), 1);
+    int used = 0;
+    for (int i = 0; i < 50; ++i)
+        used += names(fixture.plan().chain, "back-b");
+    CHECK(used > 0);
+}
+
+TEST_CASE("a chain leaves the own data centre while an engine there slows it down, if another one has room")
+{
+    std::vector<EndpointRow> rows;
+    for (const char* dataCentre : { "north", "south" }) {
+        rows.push_back(test::engineRow(std::string("front-") + dataCentre, { 0, 6 }, dataCentre));
+        rows.push_back(test::engineRow(std::string("back-") + dataCentre, { 6, 12 }, dataCentre));
+    }
+    Fixture fixture(tableOf(rows));
+    CHECK(names(fixture.plan().chain, "front-north"));
+    fixture.book.setPace(EndpointId("back-north"), 12);
+    CHECK(names(fixture.plan().chain, "front-south"));
+    CHECK(names(fixture.plan().chain, "back-south"));
+    SUBCASE("the other one is full")
+    {
+        fixture.book.report(start, LoadReported { EndpointId("front-south"), 4, 0, 0ms });
+        CHECK(names(fixture.plan().chain, "back-north"));
+    }
+    SUBCASE("the other one is slower")
+    {
+        fixture.book.setPace(EndpointId("front-south"), 40);
+        CHECK(names(fixture.plan().chain, "back-north"));
+    }
+}
+
 TEST_CASE("an endpoint without room is left out unless the attempt may wait there")
 {
     Fixture fixture(tableOf({ test::engineRow("front", { 0, 6 }), test::engineRow("back", { 6, 12 }) }));
--- a/test/core/LayerPlacementTest.cpp
+++ b/test/core/LayerPlacementTest.cpp
@@ -418,6 +418,22 @@
     }
 }
 
+// A slow engine held the only copy of layers that their former holder had given back.
+TEST_CASE("no engine gives up layers of which only a slow engine holds another copy")
+{
+    auto model = usersModel();
+    model.layers = 20;
+    std::vector<PlacedEngine> engines;
+    add(engines, "mall", "a100s", 2);
+    add(engines, "mall", "t4", 1);
+    engines[0].layers = { 0, 14 };
+    engines[1].layers = { 14, 20 };
+    engines[2].layers = { 10, 14 };
+    CHECK(planPlacement(model, engines) == std::vector<PlacementOrder> { { engines[0].endpoint, { 0, 10 } } });
+    engines[2].pace = 12;
+    CHECK(planPlacement(model, engines).empty());
+}
+
 TEST_CASE("only one data centre is placed anew at a time")
 {
     auto engines = placedAuthority();
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -135,6 +135,23 @@
     REQUIRE(report->stalled.size() == 1);
     CHECK(report->stalled[0].request == RequestId("9c41"));
     CHECK(report->stalled[0].address == "10.2.64.3:8080");
+    CHECK(report->pacePercent == 100);
+}
+
+TEST_CASE("a report's pace is read, and one that is no number leaves the usual pace")
+{
+    auto paceOf = [](const std::string& pace) {
+        auto report = platform::decodeReport(
+            R"({"born":12,"busy":false,"sequence":2,"queued":1,"running":12,"layers":null,"pace":)" + pace + '}');
+        REQUIRE(report);
+        return report->pacePercent;
+    };
+    CHECK(paceOf("12.0") == 1200);
+    CHECK(paceOf("0.5") == 50);
+    CHECK(paceOf("-3") == 0);
+    CHECK(paceOf("1e30") == 100000);
+    CHECK(paceOf("\"slow\"") == 100);
+    CHECK(paceOf("null") == 100);
 }
 
 TEST_CASE("rows are decoded with their values, and a row that is not base64 spoils the answer")
--- a/test/router/EndpointDirectoryTest.cpp
+++ b/test/router/EndpointDirectoryTest.cpp
@@ -29,6 +29,20 @@
 
 } // namespace
 
+TEST_CASE("a reported pace outlives the lists of the platform, and goes with the endpoint")
+{
+    EndpointDirectory directory;
+    directory.update(start, { a });
+    CHECK(directory.notePace(a.endpoint, 1200));
+    CHECK_FALSE(directory.notePace(a.endpoint, 1200));
+    CHECK_FALSE(directory.notePace(EndpointId("unknown"), 1200));
+    CHECK_FALSE(directory.update(start + 1s, { a }));
+    CHECK(directory.find(a.endpoint)->pacePercent == 1200);
+    directory.update(start + 2s, { b });
+    directory.update(start + 3s, { a });
+    CHECK(directory.find(a.endpoint)->pacePercent == 100);
+}
+
 TEST_CASE("an endpoint that is no longer listed has gone, and heartbeats alone change nothing")
 {
     EndpointDirectory directory;
--- a/test/router/FactRelayTest.cpp
+++ b/test/router/FactRelayTest.cpp
@@ -34,6 +34,7 @@
     endpoint.isLeaving = true;
     endpoint.layers = { 10, 20 };
     endpoint.heartbeats = 77;
+    endpoint.pacePercent = 1200;
     facts.endpoints = { endpoint };
     facts.returnedSince = 1500ms;
     facts.reader = "host-4";
