--- a/include/spindlecore/LayerPlacement.h
+++ b/include/spindlecore/LayerPlacement.h
@@ -6,6 +6,7 @@
 #include "spindlecore/RoutingConfiguration.h"
 #include "spindlecore/Types.h"
 
+#include <set>
 #include <vector>
 
 namespace jacinthspindle {
@@ -28,15 +29,23 @@
     bool operator==(const PlacementOrder&) const = default;
 };
 
+// What the planner may do in which data centre.
+struct PlacementScope {
+    std::set<DataCentreId> cutOff; // Receive no orders; their engines may all be back in a moment.
+    // Their engines may give up layers, and then take no further order until the requests in these layers have ended.
+    std::set<DataCentreId> settled;
+};
+
 // Returns the orders that bring the engines closer to whole copies of the model in each data centre whose memory
 // holds one; more than one where memory allows, so that chains stay short. Engines without layers fill the gaps of
 // their data centre first and then hold the layers with the least memory for requests. Where no such engine is left,
 // the neighbours of a gap extend their ranges, as long as each keeps memory for requests, or an engine whose layers
 // have other copies in the data centre moves into the gap. Where that leaves much less memory for requests than a cut
 // of the model over all engines of the data centre, one data centre is cut anew: no chain passes through it while it
-// misses layers. Engines give back layers that others hold as well where memory for requests is scarce. No order
-// exceeds the memory of an engine, and only a cut gives up layers without another copy in the data centre.
-std::vector<PlacementOrder> planPlacement(const ModelLayout&, const std::vector<PlacedEngine>&);
+// misses layers. Engines of settled data centres give back layers that others hold as well where memory for requests is
+// scarce. No order exceeds the memory of an engine, and only a cut gives up layers without another copy in the data
+// centre.
+std::vector<PlacementOrder> planPlacement(const ModelLayout&, const std::vector<PlacedEngine>&, const PlacementScope&);
 
 // True when some data centre with engines misses a layer, counting layers that are being loaded.
 bool hasGap(const ModelLayout&, const std::vector<PlacedEngine>&);
--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -280,10 +280,8 @@
         while (true) {
             double before = scarcityOf(tokens);
             GiveBack best { nullptr, {}, before * (1 - leastRelief) };
-            for (auto* it : steady) {
-                if (!it->isOrdered)
-                    considerGiveBack(model, *it, copies, tokens, best);
-            }
+            for (auto* it : steady)
+                considerGiveBack(model, *it, copies, tokens, best);
             if (!best.engine)
                 return;
             for (uint32_t layer = best.engine->layers.first; layer < best.engine->layers.end; ++layer)
@@ -385,7 +383,8 @@
     return capacityWithin(model, memoryOf(model, accelerator));
 }
 
-std::vector<PlacementOrder> planPlacement(const ModelLayout& model, const std::vector<PlacedEngine>& known)
+std::vector<PlacementOrder> planPlacement(
+    const ModelLayout& model, const std::vector<PlacedEngine>& known, const PlacementScope& scope)
 {
     auto engines = enginesOf(model, known);
     std::vector<Engine*> all;
@@ -394,6 +393,8 @@
         all.push_back(&it);
     auto groups = byDataCentre(engines);
     for (auto& [dataCentre, local] : groups) {
+        if (scope.cutOff.contains(dataCentre))
+            continue;
         auto staying = stayingOf(local);
         bool isNew = std::none_of(
             staying.begin(), staying.end(), [](const Engine* it) { return it->layers.count() || it->known->isBusy; });
@@ -403,9 +404,12 @@
     }
     bool mayCut = mayCutOne(model, groups);
     for (auto& [dataCentre, local] : groups) {
+        if (scope.cutOff.contains(dataCentre))
+            continue;
         if (repair(model, local, all, mayCut && !isBusy(local)))
             mayCut = false;
-        giveBack(model, local);
+        if (scope.settled.contains(dataCentre))
+            giveBack(model, local);
     }
     std::vector<PlacementOrder> orders;
     for (const auto& it : engines) {
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -137,12 +137,14 @@
 {
     auto now = m_clock.now();
     auto engines = enginesOf(service, now);
-    auto orders = planPlacement(model, engines);
+    auto scope = m_losses[service].update(now, engines);
+    auto orders = planPlacement(model, engines, scope);
     if (orders.empty())
         co_return;
     m_journal.write(LineKind::Info, "placement-planned",
         { { "service", service }, { "engines", engines.size() }, { "orders", orders.size() },
             { "list_age_ms", millisecondsOf(now - m_directory.updatedAt()) }, { "has_gap", hasGap(model, engines) },
+            { "cut_off", scope.cutOff.size() }, { "settled", scope.settled.size() },
             { "tokens_before", placementTokens(model, engines) } });
     for (const auto& order : orders) {
         const auto* endpoint = m_directory.find(order.endpoint);
--- a/test/core/LayerPlacementTest.cpp
+++ b/test/core/LayerPlacementTest.cpp
@@ -24,6 +24,14 @@
     return model;
 }
 
+PlacementScope everySettled()
+{
+    PlacementScope scope;
+    for (const auto* it : { "gulberg", "mall", "johar", "north" })
+        scope.settled.insert(DataCentreId(it));
+    return scope;
+}
+
 void add(std::vector<PlacedEngine>& engines, const std::string& dataCentre, const std::string& kind, int n)
 {
     const auto prefix = dataCentre + '-' + kind + '-';
@@ -61,7 +69,7 @@
 std::vector<PlacedEngine> placedAuthority()
 {
     auto engines = authority();
-    carryOut(engines, planPlacement(usersModel(), engines));
+    carryOut(engines, planPlacement(usersModel(), engines, everySettled()));
     return engines;
 }
 
@@ -108,7 +116,7 @@
         CHECK(missingLayers(engines, dataCentre) == 0);
     }
     checkMemory(engines);
-    CHECK(planPlacement(usersModel(), engines).empty());
+    CHECK(planPlacement(usersModel(), engines, everySettled()).empty());
 }
 
 // 54 streams a second of about 3 s with 930 tokens each are 150,000 tokens at once.
@@ -120,7 +128,7 @@
     add(engines, "mall", "l4", 11);
     add(engines, "mall", "t4", 18);
     auto model = usersModel();
-    carryOut(engines, planPlacement(model, engines));
+    carryOut(engines, planPlacement(model, engines, everySettled()));
     checkMemory(engines);
     std::vector<size_t> copies(model.layers);
     for (const auto& it : engines) {
@@ -147,7 +155,7 @@
     model.usualTokens = 900;
     model.headSlots = 192;
     auto headsOf = [&](std::vector<PlacedEngine> engines) {
-        carryOut(engines, planPlacement(model, engines));
+        carryOut(engines, planPlacement(model, engines, everySettled()));
         checkMemory(engines, model);
         CHECK(missingLayers(engines, "north") == 0);
         return std::count_if(engines.begin(), engines.end(),
@@ -202,9 +210,9 @@
                 add(engines, "north", "a100s", site.a100s);
                 add(engines, "north", "l4", site.l4);
                 add(engines, "north", "t4", site.t4);
-                carryOut(engines, planPlacement(model, engines));
+                carryOut(engines, planPlacement(model, engines, everySettled()));
                 CHECK(missingLayers(engines, "north") == 0);
-                CHECK(planPlacement(model, engines).empty());
+                CHECK(planPlacement(model, engines, everySettled()).empty());
             }
         }
     }
@@ -217,7 +225,7 @@
     // Memory for two copies and more.
     model.kinds["small"] = { 9000, 15, 15 };
     add(engines, "mall", "small", 60);
-    carryOut(engines, planPlacement(model, engines));
+    carryOut(engines, planPlacement(model, engines, everySettled()));
     checkMemory(engines, model);
     CHECK(missingLayers(engines, "mall") == 0);
     uint32_t end = 0;
@@ -245,7 +253,7 @@
         auto engines = whole;
         remove(engines, lost.endpoint.value());
         auto missing = missingLayers(engines, lost.dataCentre.value());
-        auto orders = planPlacement(usersModel(), engines);
+        auto orders = planPlacement(usersModel(), engines, everySettled());
         carryOut(engines, orders);
         checkMemory(engines);
         auto left = missingLayers(engines, lost.dataCentre.value());
@@ -262,7 +270,7 @@
         engines.begin(), engines.end(), [](const auto& it) { return it.endpoint == EndpointId("gulberg-l4-3"); });
     auto gap = lost->layers;
     lost->layers = {};
-    auto orders = planPlacement(usersModel(), engines);
+    auto orders = planPlacement(usersModel(), engines, everySettled());
     REQUIRE(orders.size() == 1);
     CHECK(orders[0].endpoint == EndpointId("gulberg-l4-3"));
     CHECK(orders[0].layers.first == gap.first);
@@ -278,12 +286,12 @@
         auto engines = whole;
         remove(engines, lost.endpoint.value());
         for (int i = 0; i < 3; ++i)
-            carryOut(engines, planPlacement(usersModel(), engines));
+            carryOut(engines, planPlacement(usersModel(), engines, everySettled()));
         auto reduced = placementTokens(usersModel(), engines);
         engines.push_back(lost);
         engines.back().layers = {};
         for (int i = 0; i < 3; ++i)
-            carryOut(engines, planPlacement(usersModel(), engines));
+            carryOut(engines, planPlacement(usersModel(), engines, everySettled()));
         CHECK(missingLayers(engines, lost.dataCentre.value()) == 0);
         CHECK(placementTokens(usersModel(), engines) >= reduced);
         for (const auto& it : engines) {
@@ -304,7 +312,7 @@
     leaving->isLeaving = true;
     auto layers = leaving->layers;
     engines.push_back({ EndpointId("mall-t4-new"), DataCentreId("mall"), "t4", {}, false, false });
-    auto orders = planPlacement(usersModel(), engines);
+    auto orders = planPlacement(usersModel(), engines, everySettled());
     REQUIRE(orders.size() == 1);
     CHECK(orders[0].endpoint == EndpointId("mall-t4-new"));
     CHECK(orders[0].layers.first == layers.first);
@@ -321,7 +329,7 @@
     std::erase_if(engines, [&](const auto& it) { return isIn(it, 30, 34); });
     std::erase_if(engines, [&](const auto& it) { return it.dataCentre == DataCentreId("mall") && isIn(it, 20, 44); });
     auto before = missingLayers(engines, "gulberg") + missingLayers(engines, "johar");
-    carryOut(engines, planPlacement(usersModel(), engines));
+    carryOut(engines, planPlacement(usersModel(), engines, everySettled()));
     checkMemory(engines);
     for (uint32_t layer = 30; layer < 34; ++layer) {
         CAPTURE(layer);
@@ -340,7 +348,7 @@
     spare.endpoint = EndpointId("spare");
     engines.push_back(spare);
     remove(engines, "mall-t4-8");
-    auto orders = planPlacement(usersModel(), engines);
+    auto orders = planPlacement(usersModel(), engines, everySettled());
     REQUIRE(orders.size() == 1);
     CHECK(orders[0].layers.first == 56);
     CHECK(orders[0].layers.end == 63);
@@ -357,7 +365,7 @@
         for (int i = 0; i < 9; ++i)
             engines.erase(engines.begin() + static_cast<int>(random() % engines.size()));
         for (int i = 0; i < 4; ++i)
-            carryOut(engines, planPlacement(usersModel(), engines));
+            carryOut(engines, planPlacement(usersModel(), engines, everySettled()));
         checkMemory(engines);
         for (const auto* dataCentre : { "gulberg", "mall", "johar" }) {
             CAPTURE(dataCentre);
@@ -383,7 +391,7 @@
         auto engines = inDataCentre(whole, lost.dataCentre);
         auto before = placementTokens(usersModel(), engines);
         remove(engines, lost.endpoint.value());
-        carryOut(engines, planPlacement(usersModel(), engines));
+        carryOut(engines, planPlacement(usersModel(), engines, everySettled()));
         checkMemory(engines);
         CHECK(missingLayers(engines, lost.dataCentre.value()) == 0);
         CHECK(placementTokens(usersModel(), engines) >= before / 2);
@@ -406,14 +414,14 @@
         if (std::none_of(engines.begin(), engines.end(), isThere))
             continue;
         engines.push_back({ EndpointId("new-" + std::to_string(i)), leaving.dataCentre, leaving.accelerator, {} });
-        carryOut(engines, planPlacement(model, engines));
-        carryOut(engines, planPlacement(model, engines));
+        carryOut(engines, planPlacement(model, engines, everySettled()));
+        carryOut(engines, planPlacement(model, engines, everySettled()));
         std::find_if(engines.begin(), engines.end(), isThere)->isLeaving = true;
-        carryOut(engines, planPlacement(model, engines));
+        carryOut(engines, planPlacement(model, engines, everySettled()));
         checkMemory(engines);
         CHECK(placementTokens(model, engines) >= before / 2);
         remove(engines, leaving.endpoint.value());
-        carryOut(engines, planPlacement(model, engines));
+        carryOut(engines, planPlacement(model, engines, everySettled()));
         CHECK(placementTokens(model, engines) >= before / 2);
     }
 }
@@ -429,9 +437,40 @@
     engines[0].layers = { 0, 14 };
     engines[1].layers = { 14, 20 };
     engines[2].layers = { 10, 14 };
-    CHECK(planPlacement(model, engines) == std::vector<PlacementOrder> { { engines[0].endpoint, { 0, 10 } } });
+    CHECK(planPlacement(model, engines, everySettled())
+        == std::vector<PlacementOrder> { { engines[0].endpoint, { 0, 10 } } });
     engines[2].pace = 12;
-    CHECK(planPlacement(model, engines).empty());
+    CHECK(planPlacement(model, engines, everySettled()).empty());
+}
+
+// Engines that give up layers take no other order until their requests have ended. During a release, two that had given
+// back layers were occupied when a third one left, and the data centre missed its layers for five seconds.
+TEST_CASE("engines give up layers only in settled data centres")
+{
+    auto model = usersModel();
+    model.layers = 20;
+    std::vector<PlacedEngine> engines;
+    add(engines, "mall", "a100s", 2);
+    add(engines, "mall", "t4", 1);
+    engines[0].layers = { 0, 14 };
+    engines[1].layers = { 14, 20 };
+    engines[2].layers = { 10, 14 };
+    CHECK_FALSE(planPlacement(model, engines, everySettled()).empty());
+    CHECK(planPlacement(model, engines, {}).empty());
+}
+
+TEST_CASE("a data centre that is cut off receives no orders, and the others are planned without it")
+{
+    auto engines = placedAuthority();
+    for (auto& it : engines)
+        it.isLeaving = it.dataCentre == DataCentreId("mall") && it.accelerator == "t4";
+    remove(engines, "johar-t4-0");
+    auto scope = everySettled();
+    scope.cutOff.insert(DataCentreId("mall"));
+    auto orders = planPlacement(usersModel(), engines, scope);
+    CHECK_FALSE(orders.empty());
+    for (const auto& order : orders)
+        CHECK(order.endpoint.value().starts_with("johar"));
 }
 
 TEST_CASE("only one data centre is placed anew at a time")
@@ -440,7 +479,7 @@
     int lost = 0;
     std::erase_if(
         engines, [&](const auto& it) { return it.accelerator == "l4" && it.layers.first > 20 && ++lost % 2; });
-    auto orders = planPlacement(usersModel(), engines);
+    auto orders = planPlacement(usersModel(), engines, everySettled());
     std::map<DataCentreId, int> shrunk;
     for (const auto& order : orders) {
         for (const auto& it : engines) {
@@ -460,7 +499,7 @@
     remove(engines, "johar-t4-0");
     engines.push_back({ EndpointId("unknown"), DataCentreId("johar"), "fpga", {}, false, false });
     engines.push_back({ EndpointId("leaving"), DataCentreId("johar"), "l4", {}, false, true });
-    CHECK(planPlacement(usersModel(), engines).empty());
+    CHECK(planPlacement(usersModel(), engines, everySettled()).empty());
 }
 
 TEST_CASE("no sequence of losses, restarts and new engines orders more than an engine's memory or opens a gap")
@@ -487,7 +526,7 @@
                     engines.erase(engines.begin() + static_cast<int>(random() % engines.size()));
             }
             auto before = engines;
-            auto orders = planPlacement(usersModel(), engines);
+            auto orders = planPlacement(usersModel(), engines, everySettled());
             carryOut(engines, orders);
             checkMemory(engines);
             for (const auto* dataCentre : { "gulberg", "mall", "johar" })
@@ -495,8 +534,8 @@
             // Planners that follow each other do not undo one another's work: after one cut anew for each data centre,
             // nothing is left to be ordered.
             for (int i = 0; i < 3; ++i)
-                carryOut(engines, planPlacement(usersModel(), engines));
-            CHECK(planPlacement(usersModel(), engines).empty());
+                carryOut(engines, planPlacement(usersModel(), engines, everySettled()));
+            CHECK(planPlacement(usersModel(), engines, everySettled()).empty());
             checkMemory(engines);
         }
     }
