Follow what endpoints and the store say of themselves: leaving, a pause, a restored copy

A leaving endpoint was left alone only once the list showed it; one that refuses with a time to come back was asked again after 0.4 s; after a restore of the store from an older copy, versions that are given out again made two planners believe in their lease, and the feed could skip a change. Change: an endpoint that says in any answer or report that it leaves is not chosen again, whatever a list says, until it is gone; one that refuses with Retry-After is left alone for that time, also as the only one. Each answer of the store names its era: the feed begins anew with a new one; a planner gives its lease up and claims none until a holder of the former era must have stopped.

Not covered by a test: the feed's new beginning.

--- a/include/spindlecore/EndpointPauses.h
+++ b/include/spindlecore/EndpointPauses.h
@@ -15,11 +15,16 @@
 public:
     static constexpr Duration shortest = std::chrono::milliseconds(400);
     static constexpr Duration longest = std::chrono::milliseconds(3200);
+    // A mistaken endpoint must not put itself out of service for good.
+    static constexpr Duration longestAsked = std::chrono::minutes(10);
 
     // The endpoint failed. Returns true when its pause begins; false when it is in progress already, as with requests
     // that were sent before it began.
     bool failed(Instant now, const EndpointId&);
 
+    // The endpoint asked to be left alone for that long, longestAsked at most. Returns true when a pause begins.
+    bool asked(Instant now, const EndpointId&, Duration);
+
     // Returns the endpoints whose pause has ended since the last call.
     std::vector<EndpointId> takeEnded(Instant now);
 
--- a/include/spindlecore/PlannerLease.h
+++ b/include/spindlecore/PlannerLease.h
@@ -52,6 +52,12 @@
     // This daemon leaves: it gives the lease back if it holds it, and takes no other action any more.
     void resign() { m_isResigning = true; }
 
+    // The store names the era of its contents, which rises when it comes back from an older copy; 0: it names none.
+    // Versions are given out again then, so that nothing that was confirmed before counts, and a holder of the former
+    // era may act until its time is over. To be called before the result of the call that saw it is reported; returns
+    // true when that result belongs to an action of the former era and must not be reported.
+    bool sawEra(Instant now, uint64_t era);
+
     // The row was read: its version, 0 when absent, and its holder; empty after a release.
     void wasRead(Instant now, uint64_t version, const std::string& holder);
     void readFailed(Instant now);
@@ -83,6 +89,8 @@
     Instant m_versionSeenAt {}; // When m_version was first seen; valid while watching.
     bool m_isAway = false; // The last read failed.
     Instant m_returnedAt {}; // First read after a failed one.
+    uint64_t m_era = 0; // As last seen; 0: none.
+    Instant m_heldBackUntil {}; // No claim before: a holder of the former era may still act.
     std::optional<Instant> m_confirmedAt; // When the last write that took effect was sent, while nobody else wrote.
     uint64_t m_terms = 0;
     bool m_isResigning = false;
--- a/src/core/placement/PlannerLease.cpp
+++ b/src/core/placement/PlannerLease.cpp
@@ -39,6 +39,20 @@
     return Read {};
 }
 
+bool PlannerLease::sawEra(Instant now, uint64_t era)
+{
+    if (!era || era == m_era)
+        return false;
+    bool isFirst = !m_era;
+    m_era = era;
+    if (isFirst)
+        return false;
+    m_confirmedAt.reset();
+    m_heldBackUntil = now + m_config.takeoverAfter;
+    enter(State::Unknown, now);
+    return true;
+}
+
 void PlannerLease::wasRead(Instant now, uint64_t version, const std::string& holder)
 {
     bool isUnchanged = m_state == State::Watching && version == m_version;
@@ -46,6 +60,11 @@
         m_returnedAt = now;
     m_isAway = false;
     m_version = version;
+    if (now < m_heldBackUntil) {
+        m_confirmedAt.reset();
+        m_versionSeenAt = now;
+        return enter(State::Unknown, std::min(now + m_config.watchEvery, m_heldBackUntil));
+    }
     if (version && holder == m_config.holder) {
         // A write whose answer was lost took effect. It is renewed at once, since the time of that write is not known.
         return enter(State::Holding, now);
--- a/src/core/routing/EndpointPauses.cpp
+++ b/src/core/routing/EndpointPauses.cpp
@@ -12,12 +12,26 @@
     auto& pause = it->second;
     if (pause.isInProgress)
         return false;
-    pause.length = isNew ? shortest : std::min(longest, pause.length * 2);
+    pause.length = isNew ? shortest : std::clamp(pause.length * 2, shortest, longest);
     pause.until = now + pause.length;
     pause.isInProgress = true;
     return true;
 }
 
+bool EndpointPauses::asked(Instant now, const EndpointId& id, Duration length)
+{
+    if (length <= Duration::zero())
+        return false;
+    auto [it, isNew] = m_pauses.try_emplace(id);
+    auto& pause = it->second;
+    bool begins = !pause.isInProgress;
+    pause.until = std::max(begins ? now : pause.until, now + std::min(length, longestAsked));
+    // The next failure begins with the shortest pause: the endpoint did not fail.
+    pause.length = isNew ? Duration::zero() : pause.length;
+    pause.isInProgress = true;
+    return begins;
+}
+
 std::vector<EndpointId> EndpointPauses::takeEnded(Instant now)
 {
     std::vector<EndpointId> ended;
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -130,6 +130,34 @@
     });
 }
 
+void Control::postNotice(EndpointNotice notice)
+{
+    net::post(m_io, [this, notice = std::move(notice)] {
+        if (notice.isLeaving)
+            noteLeaving(notice.endpoint);
+        if (notice.pause)
+            pauseFor(notice.endpoint, *notice.pause);
+    });
+}
+
+void Control::noteLeaving(const EndpointId& id)
+{
+    if (!m_directory.noteLeaving(id))
+        return;
+    m_journal.write(LineKind::Info, "endpoint-leaving", { { "endpoint", id.value() } });
+    adoptEndpoints(true);
+}
+
+// Also the last endpoint that can do its work is left alone when it asks for it; its requests are refused meanwhile.
+void Control::pauseFor(const EndpointId& id, Duration pause)
+{
+    if (!m_pauses.asked(m_clock.now(), id, pause))
+        return;
+    m_journal.write(
+        LineKind::Info, "endpoint-paused", { { "endpoint", id.value() }, { "asked_ms", millisecondsOf(pause) } });
+    apply(EndpointStateSeen { id, EndpointStateSource::Health, EndpointLife::Down });
+}
+
 void Control::apply(const CoreInput& input)
 {
     std::vector<CoreDecision> decisions;
@@ -369,6 +397,8 @@
     // Without a report the head's load is what daemons tell; a silent head is found by the requests that wait for it.
     if (!report)
         co_return;
+    if (report->isLeaving)
+        noteLeaving(engine.endpoint);
     if (m_directory.notePace(engine.endpoint, report->pacePercent)) {
         m_journal.write(LineKind::Info, "endpoint-pace",
             { { "endpoint", engine.endpoint.value() }, { "percent", report->pacePercent } });
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -36,6 +36,7 @@
     // Thread-safe.
     void postInput(CoreInput);
     void reportSilent(const EndpointId&);
+    void postNotice(EndpointNotice);
 
 private:
     net::awaitable<void> followConfiguration();
@@ -57,6 +58,8 @@
     // While this daemon reads the platform, asks the heads of chains for the requests of all daemons.
     net::awaitable<void> followHeads();
     net::awaitable<void> askEngine(EndpointSighting);
+    void noteLeaving(const EndpointId&);
+    void pauseFor(const EndpointId&, Duration);
     // A head waits for the endpoint at this address.
     void noteSilent(const std::string& address, const EndpointSighting& head);
     // The load of the data centre's engines with what heads reported themselves.
--- a/src/router/EndpointDirectory.cpp
+++ b/src/router/EndpointDirectory.cpp
@@ -78,6 +78,9 @@
 
 bool EndpointDirectory::replace(std::map<EndpointId, EndpointSighting> next)
 {
+    std::erase_if(m_leaving, [&](const auto& id) { return !next.contains(id); });
+    for (const auto& id : m_leaving)
+        next.at(id).isLeaving = true;
     auto withoutHeartbeats = [](EndpointSighting sighting) {
         sighting.heartbeats = 0;
         return sighting;
@@ -89,6 +92,15 @@
     return hasChanged;
 }
 
+bool EndpointDirectory::noteLeaving(const EndpointId& id)
+{
+    auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end() || !m_leaving.insert(id).second || it->second.isLeaving)
+        return false;
+    it->second.isLeaving = true;
+    return true;
+}
+
 bool EndpointDirectory::notePace(const EndpointId& id, uint32_t percent)
 {
     auto it = m_endpoints.find(id);
--- a/src/router/EndpointDirectory.h
+++ b/src/router/EndpointDirectory.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace jacinthspindle::router {
@@ -39,6 +40,9 @@
     // The endpoint reported its pace, which stays until it does so again. Returns true when it has changed.
     bool notePace(const EndpointId&, uint32_t percent);
 
+    // The endpoint said that it leaves, which it does not take back. Returns true when that is news.
+    bool noteLeaving(const EndpointId&);
+
     // An engine reported that the endpoint does not answer.
     void markSilent(const EndpointId&);
     // Returns the endpoints that have sent a heartbeat since they were marked as silent, and forgets the marks.
@@ -67,6 +71,7 @@
 
     std::map<EndpointId, EndpointSighting> m_endpoints;
     std::map<EndpointId, uint64_t> m_silent; // Heartbeats when the endpoint was marked.
+    std::set<EndpointId> m_leaving; // Endpoints that said so themselves, while they are listed.
     std::map<EndpointId, Instant> m_goneAt; // Endpoints that were no longer listed while no entry was waited for.
     bool m_isAway = false; // The last read failed.
     Instant m_returnedAt {}; // First answer after a failed read.
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -364,6 +364,7 @@
         co_await http::async_read_header(connection.stream, connection.buffer, *parser, awaitInto(ec));
         if (ec)
             co_return false;
+        noteEndpoint(parser->get().base());
         if (parser->get()[m_context.settings.headers.requestId] == m_request.wireId)
             co_return true;
         isForeign = true;
@@ -438,6 +439,16 @@
     co_return AttemptResult { AttemptEnd::Complete, {}, FailureKind::BadToken, "" };
 }
 
+// Passes on what the answer says about the endpoint, whichever request it belongs to.
+void Exchange::noteEndpoint(const http::response_header<>& header) const
+{
+    EndpointNotice notice { m_head.endpoint, header[m_context.settings.headers.leaving] == "1", std::nullopt };
+    if (header.result_int() == 503)
+        notice.pause = retryAfterOf(header);
+    if (notice.isLeaving || notice.pause)
+        m_context.postNotice(std::move(notice));
+}
+
 EndpointId Exchange::faultOf(const http::response_header<>& header) const
 {
     auto address = header[m_context.settings.headers.atFault];
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -35,6 +35,7 @@
     EndpointPool& pool;
     const RouterSettings& settings;
     std::function<void(CoreInput)> postInput; // To the decision core.
+    std::function<void(EndpointNotice)> postNotice; // To the control thread.
     std::function<std::shared_ptr<const RoutingView>()> currentView;
 };
 
@@ -114,6 +115,7 @@
     bool isOwnAnswer(const http::response_header<>&) const;
     AttemptResult notOwnAnswer() const;
     AttemptResult broken(const char* detail) const;
+    void noteEndpoint(const http::response_header<>&) const;
     EndpointId faultOf(const http::response_header<>&) const;
     net::awaitable<bool> sendEvents(const http::response_header<>&, const std::string& events, uint32_t attempt);
 
--- a/src/router/Headers.cpp
+++ b/src/router/Headers.cpp
@@ -120,6 +120,18 @@
     return text;
 }
 
+std::optional<Duration> retryAfterOf(const http::response_header<>& header)
+{
+    constexpr double mostSeconds = 86400;
+    auto value = header[http::field::retry_after];
+    double seconds = 0;
+    auto parsed = std::from_chars(value.data(), value.data() + value.size(), seconds);
+    bool isNumber = parsed.ec == std::errc() && parsed.ptr == value.data() + value.size();
+    if (!isNumber || !(seconds > 0))
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(seconds, mostSeconds)));
+}
+
 milliseconds idleLimitOf(const http::response_header<>& header)
 {
     auto value = header[http::field::keep_alive];
--- a/src/router/Headers.h
+++ b/src/router/Headers.h
@@ -22,6 +22,10 @@
 // Copies method, target, body and headers, except those that concern one connection or are the router's to set.
 http::request<http::string_body> forwardRequest(const HeaderNames&, const ForwardedRequest&);
 
+// Time after which an endpoint takes requests again: seconds, which may have a fraction. Nothing for zero, for anything
+// that is not such a number, and without the header.
+std::optional<Duration> retryAfterOf(const http::response_header<>&);
+
 // Copies status and headers of an endpoint's answer, except those that concern one connection.
 http::response_header<> forwardResponseHeader(const http::response_header<>&);
 
--- a/src/router/HttpCaller.cpp
+++ b/src/router/HttpCaller.cpp
@@ -67,9 +67,9 @@
         co_return fail("read", ec);
     m_stream->expires_never();
     auto& message = parser.get();
-    HttpReply reply { message.result_int(), std::move(message.body()) };
     if (!message.keep_alive() || buf.size())
         m_stream.reset();
+    HttpReply reply { message.result_int(), std::move(message.body()), std::move(message.base()) };
     co_return reply;
 }
 
--- a/src/router/HttpCaller.h
+++ b/src/router/HttpCaller.h
@@ -13,6 +13,7 @@
 struct HttpReply {
     unsigned status = 0;
     std::string body;
+    http::fields fields;
 };
 
 // Belongs to one event loop. At most one call is in progress.
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -70,9 +70,13 @@
 net::awaitable<void> LayoutPlanner::advanceLease()
 {
     auto now = m_clock.now();
+    // Another call may have seen it.
+    isOfFormerEra(now);
     auto action = m_lease.next(now);
     if (std::holds_alternative<PlannerLease::Read>(action)) {
         auto row = co_await m_store.read();
+        // What was read belongs to the new era.
+        isOfFormerEra(m_clock.now());
         if (row)
             m_lease.wasRead(m_clock.now(), row->version, row->holder);
         else
@@ -88,6 +92,8 @@
     if (!write)
         co_return;
     auto [outcome, version] = co_await m_store.write(write->expectedVersion, m_leaseConfig.holder);
+    if (isOfFormerEra(m_clock.now()))
+        co_return;
     if (outcome == CommitOutcome::Committed)
         m_lease.wasWritten(now, version);
     else if (outcome == CommitOutcome::Conflict)
@@ -96,6 +102,14 @@
         m_lease.writeFailed(m_clock.now());
 }
 
+bool LayoutPlanner::isOfFormerEra(Instant now)
+{
+    bool isFormer = m_lease.sawEra(now, m_store.era());
+    if (isFormer)
+        m_journal.write(LineKind::Warning, "store-restored", { { "era", m_store.era() } });
+    return isFormer;
+}
+
 bool LayoutPlanner::isListSettled(Instant now)
 {
     auto n = m_directory.size();
--- a/src/router/LayoutPlanner.h
+++ b/src/router/LayoutPlanner.h
@@ -35,6 +35,8 @@
     };
 
     net::awaitable<void> advanceLease();
+    // True when the store has come back from an older copy since the last action of the lease was begun.
+    bool isOfFormerEra(Instant now);
     net::awaitable<void> plan(const std::string& service, ModelLayout);
     net::awaitable<void> carryOut(EndpointSighting, LayerRange, ModelLayout);
     std::vector<PlacedEngine> enginesOf(const std::string& service, Instant now);
--- a/src/router/Ports.h
+++ b/src/router/Ports.h
@@ -52,6 +52,13 @@
     bool operator==(const EndpointSighting&) const = default;
 };
 
+// What an endpoint said about itself beside an answer.
+struct EndpointNotice {
+    EndpointId endpoint;
+    bool isLeaving = false; // It takes no new requests.
+    std::optional<Duration> pause; // For how long it wants nothing from this daemon.
+};
+
 class EndpointSource {
 public:
     virtual ~EndpointSource() = default;
@@ -79,6 +86,8 @@
 public:
     virtual ~LeaseStore() = default;
     virtual net::awaitable<std::optional<LeaseRow>> read() = 0;
+    // Of the store's contents, by its last answer to any call; see PlannerLease::sawEra().
+    virtual uint64_t era() const = 0;
     // Returns the outcome, and the new version of the row when it was committed.
     virtual net::awaitable<std::pair<CommitOutcome, uint64_t>> write(uint64_t expectedVersion, std::string holder) = 0;
 };
@@ -97,6 +106,7 @@
     uint32_t running = 0; // Requests of all daemons.
     uint32_t waiting = 0;
     uint32_t pacePercent = 100; // See EndpointSighting.
+    bool isLeaving = false;
     LayerRange layers;
     std::vector<StalledRequest> stalled;
 };
--- a/src/router/RouterSettings.h
+++ b/src/router/RouterSettings.h
@@ -22,6 +22,7 @@
     const char* signature = "X-Signature"; // Proof that an answer is the endpoint's own.
     const char* notExecuted = "X-Not-Executed"; // The endpoint did not run the request.
     const char* atFault = "X-At-Fault"; // Address of the stage that made a chain fail.
+    const char* leaving = "X-Leaving"; // "1" on each answer of an endpoint that leaves.
 };
 
 struct RouterSettings {
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -36,7 +36,7 @@
     , m_age(age)
     , m_pool(io.get_executor(), clock)
     , m_context { io.get_executor(), clock, journal, metrics, m_pool, settings, m_control.postInput,
-        [this] { return m_view; } }
+        m_control.postNotice, [this] { return m_view; } }
     , m_acceptor(io)
 {
 }
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -15,6 +15,7 @@
 struct ControlPort {
     std::function<void(CoreInput)> postInput;
     std::function<void(const EndpointId&)> reportSilent; // An engine names this endpoint as not answering.
+    std::function<void(EndpointNotice)> postNotice;
 };
 
 // Age of the configuration, which the control thread writes and the traffic thread reads.
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -99,10 +99,10 @@
     Process(const platform::PlatformSettings& settings, const Clock& clock, router::Journal& journal)
         : m_settings(settings)
         , m_journal(journal)
-        , m_configurations(m_controlIo.get_executor(), clock, journal, settings.storeAddress)
-        , m_endpoints(m_controlIo.get_executor(), journal, settings.storeAddress)
-        , m_hosts(m_controlIo.get_executor(), settings.storeAddress)
-        , m_lease(m_controlIo.get_executor(), settings.storeAddress)
+        , m_configurations(m_controlIo.get_executor(), clock, journal, m_era, settings.storeAddress)
+        , m_endpoints(m_controlIo.get_executor(), journal, m_era, settings.storeAddress)
+        , m_hosts(m_controlIo.get_executor(), m_era, settings.storeAddress)
+        , m_lease(m_controlIo.get_executor(), m_era, settings.storeAddress)
         , m_planningEngines(m_controlIo.get_executor())
         , m_trafficEngines(m_trafficIo.get_executor())
         , m_control(m_controlIo, clock, journal, m_metrics, settings.router,
@@ -110,7 +110,8 @@
               leaseConfigOf(settings.router, clock), m_age)
         , m_traffic(m_trafficIo, clock, journal, m_metrics, settings.router,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
-                  [this](const EndpointId& id) { m_control.reportSilent(id); } },
+                  [this](const EndpointId& id) { m_control.reportSilent(id); },
+                  [this](router::EndpointNotice notice) { m_control.postNotice(std::move(notice)); } },
               m_trafficEngines, m_age)
         , m_ready(m_trafficIo, router::immediately([this] {
             return router::TextAnswer { m_traffic.isReady() ? 200U : 503U, {} };
@@ -175,6 +176,7 @@
     router::ConfigurationAge m_age;
     router::net::io_context m_controlIo { 1 };
     router::net::io_context m_trafficIo { 1 };
+    platform::StoreEra m_era;
     platform::StoreConfigurationSource m_configurations;
     platform::StoreEndpointSource m_endpoints;
     platform::StoreHosts m_hosts;
--- a/test/core/EndpointPausesTest.cpp
+++ b/test/core/EndpointPausesTest.cpp
@@ -54,3 +54,27 @@
     pauses.takeEnded(start + 10s);
     CHECK(pauseAt(pauses, start + 10s) == 400ms);
 }
+
+TEST_CASE("an endpoint that asks for a pause has it in full, and fails with the shortest one afterwards")
+{
+    EndpointPauses pauses;
+    CHECK_FALSE(pauses.asked(start, engine, 0s));
+    CHECK_FALSE(pauses.isPaused(engine));
+    CHECK(pauses.asked(start, engine, 7s));
+    CHECK_FALSE(pauses.asked(start + 100ms, engine, 1s));
+    CHECK_FALSE(pauses.failed(start + 100ms, engine));
+    CHECK(pauses.takeEnded(start + 6900ms).empty());
+    CHECK(pauses.takeEnded(start + 7s) == std::vector { engine });
+    CHECK(pauseAt(pauses, start + 7100ms) == 400ms);
+}
+
+TEST_CASE("a pause that is asked for lengthens one in progress, and is bounded")
+{
+    EndpointPauses pauses;
+    CHECK(pauses.failed(start, engine));
+    CHECK_FALSE(pauses.asked(start, engine, 2s));
+    CHECK(pauses.takeEnded(start + 1900ms).empty());
+    CHECK(pauses.takeEnded(start + 2s) == std::vector { engine });
+    CHECK(pauses.asked(start + 3s, engine, 10000h));
+    CHECK(pauses.takeEnded(start + 3s + EndpointPauses::longestAsked) == std::vector { engine });
+}
--- a/test/core/PlannerLeaseTest.cpp
+++ b/test/core/PlannerLeaseTest.cpp
@@ -197,3 +197,102 @@
     }
     CHECK(held > 1000);
 }
+
+namespace {
+
+// A store that can come back from an older copy, and one daemon that talks to it.
+struct Store {
+    Row row;
+    uint64_t era = 1;
+};
+
+class Daemon {
+public:
+    explicit Daemon(std::string name)
+        : m_name(std::move(name))
+        , m_lease(configOf(m_name))
+    {
+    }
+
+    // Carries out the action that is due, as the planner does.
+    void step(Store& store, Instant now, Path path)
+    {
+        auto action = m_lease.next(now);
+        if (std::holds_alternative<PlannerLease::Read>(action)) {
+            if (path != Path::Open)
+                return m_lease.readFailed(now);
+            m_lease.sawEra(now, store.era);
+            return m_lease.wasRead(now, store.row.version, store.row.holder);
+        }
+        const auto* write = std::get_if<PlannerLease::Write>(&action);
+        if (!write)
+            return;
+        bool applies = path != Path::Down && write->expectedVersion == store.row.version;
+        if (applies)
+            store.row = { store.row.version + 1, m_name };
+        if (path != Path::Open)
+            return m_lease.writeFailed(now);
+        if (m_lease.sawEra(now, store.era))
+            return;
+        if (applies)
+            m_lease.wasWritten(now, store.row.version);
+        else
+            m_lease.wasRejected(now);
+    }
+
+    bool isHolder(Instant now) const { return m_lease.isHolder(now); }
+
+private:
+    std::string m_name;
+    PlannerLease m_lease;
+};
+
+} // namespace
+
+// A holder's next write met the version that it expected, though another daemon had written the row since the store
+// came back from an older copy: both believed in their lease.
+TEST_CASE("no two daemons hold the lease when the store comes back from older copies and gives versions out again")
+{
+    int terms = 0;
+    for (uint32_t seed = 0; seed < 400; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        Store store;
+        std::vector<Row> copies { store.row };
+        Daemon daemons[] { Daemon("a"), Daemon("b"), Daemon("c") };
+        Path paths[] { Path::Open, Path::Open, Path::Open };
+        auto now = start;
+        for (int cycle = 0; cycle < 400; ++cycle, now += 100ms) {
+            if (random() % 60 == 0)
+                paths[random() % 3] = static_cast<Path>(random() % 3);
+            if (random() % 40 == 0) {
+                // Some seconds old.
+                store.row = copies[copies.size() - 1 - random() % std::min<size_t>(copies.size(), 40)];
+                ++store.era;
+            }
+            auto first = random() % 3;
+            for (size_t i = 0; i < 3; ++i) {
+                auto n = (first + i) % 3;
+                daemons[n].step(store, now, paths[n]);
+            }
+            copies.push_back(store.row);
+            auto holders = std::count_if(
+                std::begin(daemons), std::end(daemons), [&](const auto& it) { return it.isHolder(now); });
+            REQUIRE(holders <= 1);
+            terms += static_cast<int>(holders);
+        }
+    }
+    // Most of the time somebody holds it, though the store is restored each four seconds.
+    MESSAGE("cycles with a holder: " << terms << " of 160000");
+    CHECK(terms > 16000);
+}
+
+TEST_CASE("a store that names no era, or the first one, changes nothing")
+{
+    PlannerLease lease(configOf("a"));
+    CHECK_FALSE(lease.sawEra(start, 0));
+    CHECK_FALSE(lease.sawEra(start, 3));
+    CHECK_FALSE(lease.sawEra(start, 0));
+    CHECK_FALSE(lease.sawEra(start, 3));
+    CHECK(lease.sawEra(start, 4));
+}
--- a/test/router/EndpointDirectoryTest.cpp
+++ b/test/router/EndpointDirectoryTest.cpp
@@ -29,6 +29,26 @@
 
 } // namespace
 
+// The platform's list shows a leaving endpoint later than its own answers, and not at all while the platform is away.
+TEST_CASE("an endpoint that said itself that it leaves is not taken back from any list while it is listed")
+{
+    EndpointDirectory directory;
+    directory.update(start, { a, b });
+    CHECK(directory.noteLeaving(a.endpoint));
+    CHECK_FALSE(directory.noteLeaving(a.endpoint));
+    CHECK_FALSE(directory.noteLeaving(EndpointId("unknown")));
+    CHECK(directory.find(a.endpoint)->isLeaving);
+    CHECK_FALSE(directory.find(b.endpoint)->isLeaving);
+    directory.update(start + 1s, { a, b });
+    CHECK(directory.find(a.endpoint)->isLeaving);
+    directory.adopt(start + 2s, { a, b }, std::nullopt);
+    CHECK(directory.find(a.endpoint)->isLeaving);
+    // Its successor at the same address is another endpoint.
+    auto successor = endpoint("a@2", "10.0.0.1:80");
+    directory.update(start + 3s, { successor, b });
+    CHECK_FALSE(directory.find(successor.endpoint)->isLeaving);
+}
+
 TEST_CASE("a reported pace outlives the lists of the platform, and goes with the endpoint")
 {
     EndpointDirectory directory;
--- a/test/router/ExchangeTest.cpp
+++ b/test/router/ExchangeTest.cpp
@@ -278,3 +278,57 @@
     // A full endpoint is believed to stay full for 3 s.
     CHECK(std::chrono::steady_clock::now() - began < 3s);
 }
+
+TEST_CASE("an endpoint that says in an answer that it leaves receives no further request")
+{
+    auto answerWith = [](const std::string& head) {
+        return [head](const std::string& request) {
+            return ownAnswer(request, "200 OK", "found", "X-Signature: s\r\n" + head);
+        };
+    };
+    ScriptedServer leaving(answerWith("X-Leaving: 1\r\n"));
+    ScriptedServer staying(answerWith({}));
+    RouterFixture router;
+    router.start(
+        { endpointAt("c1", "catalogue", leaving.address()), endpointAt("c2", "catalogue", staying.address()) });
+    auto send = [&](int n) { router.send(requestText("GET", "/cards/1", "r" + std::to_string(n))); };
+    int n = 0;
+    for (; n < 20 && !leaving.connections(); ++n)
+        send(n);
+    REQUIRE(leaving.connections() == 1);
+    for (int i = 0; i < 10; ++i)
+        send(++n);
+    CHECK(leaving.connections() == 1);
+}
+
+TEST_CASE("an endpoint that refuses with a time to come back receives nothing before it, though it is the only one")
+{
+    ScriptedServer server([](const std::string& request) {
+        return ownAnswer(request, "503 Service Unavailable", "full", "X-Not-Executed: 1\r\nRetry-After: 30.5\r\n");
+    });
+    RouterFixture router;
+    router.start({ endpointAt("c1", "catalogue", server.address()) });
+    CHECK(statusOf(router.send(requestText("GET", "/cards/1", "r1"))) == 503);
+    auto connections = server.connections();
+    // Until here the endpoint counts as full in any case.
+    std::this_thread::sleep_for(3300ms);
+    for (int i = 2; i < 8; ++i)
+        CHECK(statusOf(router.send(requestText("GET", "/cards/1", "r" + std::to_string(i)))) == 503);
+    CHECK(server.connections() == connections);
+}
+
+TEST_CASE("a time to come back that is no positive number of seconds is left aside")
+{
+    auto timeOf = [](const char* text) {
+        router::http::response_header<> header;
+        header.set(router::http::field::retry_after, text);
+        return router::retryAfterOf(header);
+    };
+    CHECK(timeOf("0.25") == Duration(250ms));
+    CHECK(timeOf("3") == Duration(3s));
+    CHECK(timeOf("1e300") == Duration(24h));
+    for (const char* text : { "", "0", "-1", "nan", "soon", "3 s", "Fri, 04 Dec 2026 12:00:00 GMT" }) {
+        CAPTURE(text);
+        CHECK_FALSE(timeOf(text));
+    }
+}
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -149,6 +149,7 @@
     {
         co_return std::pair { CommitOutcome::Unavailable, uint64_t {} };
     }
+    uint64_t era() const override { return 0; }
 };
 
 class MemoryEngines final : public router::EngineControl {
@@ -262,7 +263,8 @@
               { m_configurations, m_endpoints, m_hosts, m_lease, m_engines }, leaseOf(host), m_age)
         , m_traffic(m_trafficIo, m_clock, m_journal, m_metrics, m_settings,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
-                  [this](const EndpointId& id) { m_control.reportSilent(id); } },
+                  [this](const EndpointId& id) { m_control.reportSilent(id); },
+                  [this](router::EndpointNotice notice) { m_control.postNotice(std::move(notice)); } },
               m_engines, m_age)
         , m_peers(m_controlIo, [this](router::TextRequest request) { return m_control.answerPeer(std::move(request)); })
     {
