--- a/test/core/ChainPlannerTest.cpp
+++ b/test/core/ChainPlannerTest.cpp
@@ -228,8 +228,8 @@
         CHECK(names(fixture.plan().chain, "back-a"));
 }
 
-// An engine that had come back twelve times slower than its kind shared a layer range with a sound one. Each chain of the
-// data centre that took it waited for it, and four of five requests there were given up by their callers.
+// An engine that had come back twelve times slower than its kind shared a layer range with a sound one. Each chain of
+// the data centre that took it waited for it, and four of five requests there were given up by their callers.
 TEST_CASE("an engine that reports a slow pace is left to others that hold its layers")
 {
     Fixture fixture(tableOf({ test::engineRow("front", { 0, 6 }), test::engineRow("back-a", { 6, 12 }),
