Count layers beyond the model for nothing when placing

Cause: found by reading the diff: an engine that names layers beyond the model (another model, or by mistake) made the new measure of scarcity write outside of its vectors, and older counts read there. Change: the planner clamps what engines hold to the model's layers. Test: layers beyond the model (SIGSEGV before, 22 of 22 cases of LayerPlacementTest after).

--- a/src/core/placement/LayerPlacement.cpp
+++ b/src/core/placement/LayerPlacement.cpp
@@ -362,7 +362,9 @@
         engines.reserve(known.size());
         for (const auto& it : known) {
             auto memoryMb = memoryOf(model, it.accelerator);
-            engines.push_back({ &it, it.layers, memoryMb, capacityWithin(model, memoryMb * weightShare),
+            // An engine may hold layers of a larger model, or say so by mistake.
+            LayerRange layers { std::min(it.layers.first, model.layers), std::min(it.layers.end, model.layers) };
+            engines.push_back({ &it, layers, memoryMb, capacityWithin(model, memoryMb * weightShare),
                 extendedCapacity(model, memoryMb) });
         }
         return engines;
--- a/test/core/LayerPlacementTest.cpp
+++ b/test/core/LayerPlacementTest.cpp
@@ -491,6 +491,27 @@
     CHECK(shrunk.size() <= 1);
 }
 
+TEST_CASE("layers beyond the model, which an engine may name by mistake, count for nothing")
+{
+    auto model = usersModel();
+    model.layers = 20;
+    std::vector<PlacedEngine> engines;
+    add(engines, "mall", "a100s", 2);
+    add(engines, "mall", "t4", 2);
+    engines[0].layers = { 0, 14 };
+    engines[1].layers = { 14, 4000000000U };
+    engines[2].layers = { 18, 500 };
+    engines[3].layers = { 30, 40 };
+    CHECK_FALSE(hasGap(model, engines));
+    for (const auto& order : planPlacement(model, engines, everySettled()))
+        CHECK(order.layers.end <= model.layers);
+    engines.erase(engines.begin());
+    // The empty engine first takes a part of the gap; then the data centre is cut anew.
+    for (int i = 0; i < 2; ++i)
+        carryOut(engines, planPlacement(model, engines, everySettled()));
+    CHECK(missingLayers(engines, "mall", model.layers) == 0);
+}
+
 TEST_CASE("busy engines, unknown kinds and leaving engines receive no orders")
 {
     auto engines = placedAuthority();
