--- a/test/core/LossWatchTest.cpp
+++ b/test/core/LossWatchTest.cpp
@@ -16,6 +16,7 @@
     void see(int engines, Duration time)
     {
         std::vector<PlacedEngine> seen;
+        seen.reserve(total);
         for (int i = 0; i < total; ++i)
             seen.push_back({ EndpointId("e" + std::to_string(i)), north, "t4", { 0, 4 }, false, i >= engines });
         for (auto end = m_now + time; m_now < end; m_now += 250ms)
