Share the setup of two placement tests, and restore an export mark

Found by reading the change again: two tests of giving back layers built the same three engines, and the umbrella header had lost the mark of LoadLedger.h by an edit of mine.

--- a/include/spindlecore/spindlecore.h
+++ b/include/spindlecore/spindlecore.h
@@ -11,7 +11,7 @@
 #include "spindlecore/FactSources.h" // IWYU pragma: export
 #include "spindlecore/LayerPlacement.h" // IWYU pragma: export
 #include "spindlecore/LimitShares.h" // IWYU pragma: export
-#include "spindlecore/LoadLedger.h"
+#include "spindlecore/LoadLedger.h" // IWYU pragma: export
 #include "spindlecore/LossWatch.h" // IWYU pragma: export
 #include "spindlecore/Membership.h" // IWYU pragma: export
 #include "spindlecore/OrderMachine.h" // IWYU pragma: export
--- a/test/core/LayerPlacementTest.cpp
+++ b/test/core/LayerPlacementTest.cpp
@@ -100,6 +100,19 @@
     REQUIRE(engines.size() == n - 1);
 }
 
+// Three engines for a model of 20 layers: the first one is short of memory for requests, and the last one holds the
+// layers that it could give up.
+std::vector<PlacedEngine> crowdedBesideSpare()
+{
+    std::vector<PlacedEngine> engines;
+    add(engines, "mall", "a100s", 2);
+    add(engines, "mall", "t4", 1);
+    engines[0].layers = { 0, 14 };
+    engines[1].layers = { 14, 20 };
+    engines[2].layers = { 10, 14 };
+    return engines;
+}
+
 std::vector<PlacedEngine> inDataCentre(std::vector<PlacedEngine> engines, const DataCentreId& dataCentre)
 {
     std::erase_if(engines, [&](const auto& it) { return it.dataCentre != dataCentre; });
@@ -431,12 +444,7 @@
 {
     auto model = usersModel();
     model.layers = 20;
-    std::vector<PlacedEngine> engines;
-    add(engines, "mall", "a100s", 2);
-    add(engines, "mall", "t4", 1);
-    engines[0].layers = { 0, 14 };
-    engines[1].layers = { 14, 20 };
-    engines[2].layers = { 10, 14 };
+    auto engines = crowdedBesideSpare();
     CHECK(planPlacement(model, engines, everySettled())
         == std::vector<PlacementOrder> { { engines[0].endpoint, { 0, 10 } } });
     engines[2].pace = 12;
@@ -449,12 +457,7 @@
 {
     auto model = usersModel();
     model.layers = 20;
-    std::vector<PlacedEngine> engines;
-    add(engines, "mall", "a100s", 2);
-    add(engines, "mall", "t4", 1);
-    engines[0].layers = { 0, 14 };
-    engines[1].layers = { 14, 20 };
-    engines[2].layers = { 10, 14 };
+    auto engines = crowdedBesideSpare();
     CHECK_FALSE(planPlacement(model, engines, everySettled()).empty());
     CHECK(planPlacement(model, engines, {}).empty());
 }
