Send the changes of the endpoint list to followers in place of the whole list

While an engine was marked as silent, each answer held the whole list, for the sake of its heartbeats.

Change: the directory counts revisions and keeps the revision of each endpoint's last change. A follower that accepts changes receives those since its own revision, and the heartbeats of the endpoints that it takes for silent. The whole list follows a first question, a restart, a gap, or a digest that differs; the last at most every 3 s. Daemons of the former release send and receive what they did before; tests hold recorded bytes of its messages.

Found on the way: a follower compared the heartbeats of a silent endpoint with a count from its last list, which may be seconds old, so that heartbeats from before the loss could count as recovery. They are now compared with the first list that is not older than the mark.

Ruled out: passing on a log of list operations. It needs a bound and a gap check as well, and grows with changes that cancel each other out.

--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -80,11 +80,13 @@
               [this] {
                   FactQuestion question;
                   question.configurationVersion = m_configuration ? m_configuration->version : 0;
-                  question.wantsHeartbeats = m_directory.hasSilent();
+                  question.heartbeatsOf = m_directory.silentEndpoints();
+                  question.wantsHeartbeats = !question.heartbeatsOf.empty();
                   question.load = m_core.ownLoad();
                   return question;
               },
               [this](const Facts& facts, Instant askedAt) { return adoptFacts(facts, askedAt); },
+              [this] { return m_directory.digest(); },
               [this](std::vector<EndpointLoad> load) { return withReports(std::move(load)); } })
 {
 }
@@ -125,7 +127,7 @@
 void Control::reportSilent(const EndpointId& id)
 {
     net::post(m_io, [this, id] {
-        m_directory.markSilent(id);
+        m_directory.markSilent(m_clock.now(), id);
         apply(EndpointStateReported { id, EndpointStateSource::Engine, EndpointAvailability::Down });
     });
 }
@@ -222,9 +224,13 @@
     facts.configurationAge = ageOf(m_confirmedAt);
     if (m_document && question.configurationVersion != facts.configurationVersion)
         facts.configurationDocument = *m_document;
-    facts.endpointsRevision = m_endpointsRevision;
+    facts.endpointsRevision = m_directory.revision();
     facts.endpointsAge = ageOf(m_directory.updatedAt());
-    if (question.wantsHeartbeats || question.endpointsRevision != m_endpointsRevision)
+    facts.endpointsDigest = m_directory.digest();
+    if (question.acceptsChanges)
+        facts.changes = m_directory.changesSince(question.endpointsRevision, question.heartbeatsOf);
+    bool hasOtherList = question.endpointsRevision != m_directory.revision();
+    if (!facts.changes && (question.wantsHeartbeats || hasOtherList))
         facts.endpoints = m_directory.endpoints();
     if (auto returnedAt = m_directory.returnedAt(now))
         facts.returnedSince = ageOf(*returnedAt);
@@ -250,6 +256,8 @@
         returnedAt = askedAt - *facts.returnedSince;
     if (facts.endpoints)
         adoptEndpoints(m_directory.adopt(updatedAt, *facts.endpoints, returnedAt));
+    else if (facts.changes)
+        adoptEndpoints(m_directory.adoptChanges(updatedAt, *facts.changes, returnedAt));
     else
         m_directory.confirm(updatedAt);
     // The answer counts this daemon's attempts as they were when it asked.
@@ -323,7 +331,6 @@
 void Control::adoptEndpoints(bool hasChanged)
 {
     if (hasChanged) {
-        ++m_endpointsRevision;
         m_journal.write(LineKind::Info, "endpoints-changed",
             { { "endpoints", m_directory.size() }, { "table_revision", m_revision + 1 } });
         publish();
@@ -422,7 +429,7 @@
             continue;
         m_journal.write(LineKind::Warning, "endpoint-silent",
             { { "endpoint", it.endpoint.value() }, { "head", head.address }, { "requests", 0 } });
-        m_directory.markSilent(it.endpoint);
+        m_directory.markSilent(m_clock.now(), it.endpoint);
     }
 }
 
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -92,7 +92,6 @@
     std::map<EndpointId, uint32_t> m_paces; // As the core knows them.
     std::map<EndpointId, HeadLoad> m_headLoad; // Of all data centres; only while this daemon reads the platform.
     uint64_t m_revision = 0; // Of the table in the core.
-    uint64_t m_endpointsRevision = 0; // Rises with each change of the endpoints, heartbeats left out.
     bool m_areConfigurationsUp = true; // As last logged.
     bool m_areEndpointsUp = true;
 };
--- a/src/router/EndpointDirectory.cpp
+++ b/src/router/EndpointDirectory.cpp
@@ -4,6 +4,16 @@
 
 namespace jacinthspindle::router {
 
+namespace {
+
+    bool isSameButForHeartbeats(EndpointSighting a, const EndpointSighting& b)
+    {
+        a.heartbeats = b.heartbeats;
+        return a == b;
+    }
+
+} // namespace
+
 bool EndpointDirectory::update(Instant now, const std::vector<EndpointSighting>& listed)
 {
     if (m_isAway && now - m_updatedAt >= shortestOutage)
@@ -55,14 +65,32 @@
 bool EndpointDirectory::adopt(
     Instant updatedAt, std::vector<EndpointSighting> endpoints, std::optional<Instant> returnedAt)
 {
-    m_isAway = false;
-    m_updatedAt = updatedAt;
-    m_returnedAt = returnedAt.value_or(Instant());
     std::map<EndpointId, EndpointSighting> next;
     for (auto& it : endpoints) {
         auto id = it.endpoint;
         next.emplace(std::move(id), std::move(it));
     }
+    return adoptList(updatedAt, std::move(next), returnedAt);
+}
+
+bool EndpointDirectory::adoptChanges(Instant updatedAt, EndpointChanges changes, std::optional<Instant> returnedAt)
+{
+    auto next = m_endpoints;
+    for (const auto& it : changes.removed)
+        next.erase(it);
+    for (auto& it : changes.updated) {
+        auto id = it.endpoint;
+        next.insert_or_assign(std::move(id), std::move(it));
+    }
+    return adoptList(updatedAt, std::move(next), returnedAt);
+}
+
+bool EndpointDirectory::adoptList(
+    Instant updatedAt, std::map<EndpointId, EndpointSighting> next, std::optional<Instant> returnedAt)
+{
+    m_isAway = false;
+    m_updatedAt = updatedAt;
+    m_returnedAt = returnedAt.value_or(Instant());
     if (returnedAt)
         correctByOwn(updatedAt, next);
     noteGone(updatedAt, next);
@@ -81,14 +109,30 @@
     std::erase_if(m_leaving, [&](const auto& id) { return !next.contains(id); });
     for (const auto& id : m_leaving)
         next.at(id).isLeaving = true;
-    auto withoutHeartbeats = [](EndpointSighting sighting) {
-        sighting.heartbeats = 0;
-        return sighting;
+    bool hasChanged = false;
+    auto beginChange = [&] {
+        if (!hasChanged)
+            m_history.beginRevision();
+        hasChanged = true;
     };
-    bool hasChanged = !std::equal(m_endpoints.begin(), m_endpoints.end(), next.begin(), next.end(),
-        [&](const auto& a, const auto& b) { return withoutHeartbeats(a.second) == withoutHeartbeats(b.second); });
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (next.contains(id))
+            continue;
+        beginChange();
+        m_history.recordRemoval(id);
+    }
+    for (const auto& [id, endpoint] : next) {
+        const auto* known = find(id);
+        if (known && isSameButForHeartbeats(*known, endpoint))
+            continue;
+        beginChange();
+        m_history.recordUpdate(id);
+    }
     m_endpoints = std::move(next);
+    if (hasChanged)
+        m_digest = digestOf(m_endpoints);
     std::erase_if(m_silent, [&](const auto& it) { return !m_endpoints.contains(it.first); });
+    countSilentHeartbeats();
     return hasChanged;
 }
 
@@ -98,31 +142,48 @@
     if (it == m_endpoints.end() || !m_leaving.insert(id).second || it->second.isLeaving)
         return false;
     it->second.isLeaving = true;
+    recordChange(id);
     return true;
 }
 
+void EndpointDirectory::recordChange(const EndpointId& id)
+{
+    m_history.beginRevision();
+    m_history.recordUpdate(id);
+}
+
 bool EndpointDirectory::notePace(const EndpointId& id, uint32_t percent)
 {
     auto it = m_endpoints.find(id);
     if (it == m_endpoints.end() || it->second.pacePercent == percent)
         return false;
     it->second.pacePercent = percent;
+    recordChange(id);
     return true;
 }
 
-void EndpointDirectory::markSilent(const EndpointId& id)
+void EndpointDirectory::markSilent(Instant now, const EndpointId& id)
 {
-    const auto* endpoint = find(id);
-    if (endpoint)
-        m_silent[id] = endpoint->heartbeats;
+    if (!find(id))
+        return;
+    m_silent[id] = { now, std::nullopt };
+    countSilentHeartbeats();
+}
+
+void EndpointDirectory::countSilentHeartbeats()
+{
+    for (auto& [id, mark] : m_silent) {
+        if (!mark.heartbeats && m_updatedAt >= mark.markedAt)
+            mark.heartbeats = m_endpoints.at(id).heartbeats;
+    }
 }
 
 std::vector<EndpointId> EndpointDirectory::takeRecovered()
 {
     std::vector<EndpointId> recovered;
-    for (const auto& [id, heartbeats] : m_silent) {
+    for (const auto& [id, mark] : m_silent) {
         // One heartbeat may have been on its way when the endpoint was marked.
-        if (m_endpoints.at(id).heartbeats > heartbeats + 1)
+        if (mark.heartbeats && m_endpoints.at(id).heartbeats > *mark.heartbeats + 1)
             recovered.push_back(id);
     }
     for (const auto& it : recovered)
@@ -157,6 +218,30 @@
     return all;
 }
 
+std::optional<EndpointChanges> EndpointDirectory::changesSince(
+    uint64_t revision, const std::vector<EndpointId>& withHeartbeats) const
+{
+    auto changes = m_history.changesSince(revision, m_endpoints);
+    if (!changes)
+        return std::nullopt;
+    for (const auto& id : withHeartbeats) {
+        const auto* endpoint = find(id);
+        bool isIncluded = std::any_of(changes->updated.begin(), changes->updated.end(),
+            [&](const EndpointSighting& it) { return it.endpoint == id; });
+        if (endpoint && !isIncluded)
+            changes->updated.push_back(*endpoint);
+    }
+    return changes;
+}
+
+std::vector<EndpointId> EndpointDirectory::silentEndpoints() const
+{
+    std::vector<EndpointId> silent;
+    for (const auto& it : m_silent)
+        silent.push_back(it.first);
+    return silent;
+}
+
 const EndpointSighting* EndpointDirectory::find(const EndpointId& id) const
 {
     auto it = m_endpoints.find(id);
--- a/src/router/EndpointDirectory.h
+++ b/src/router/EndpointDirectory.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include "router/Ports.h"
+#include "router/EndpointHistory.h"
 
 #include <algorithm>
 #include <functional>
@@ -34,6 +34,9 @@
     // platform came back, while entries that lapsed are waited for. Returns true when anything but heartbeats has
     // changed.
     bool adopt(Instant updatedAt, std::vector<EndpointSighting>, std::optional<Instant> returnedAt);
+    // Like adopt(), but with the changes of the other daemon's list. The other daemon must have sent the list that the
+    // changes apply to; see digest() for what may differ nevertheless.
+    bool adoptChanges(Instant updatedAt, EndpointChanges, std::optional<Instant> returnedAt);
     // Another daemon confirmed at updatedAt that the list is still the same.
     void confirm(Instant updatedAt) { m_updatedAt = std::max(m_updatedAt, updatedAt); }
 
@@ -44,7 +47,7 @@
     bool noteLeaving(const EndpointId&);
 
     // An engine reported that the endpoint does not answer.
-    void markSilent(const EndpointId&);
+    void markSilent(Instant now, const EndpointId&);
     // Returns the endpoints that have sent a heartbeat since they were marked as silent, and forgets the marks.
     std::vector<EndpointId> takeRecovered();
 
@@ -55,22 +58,41 @@
     bool isReplaceable(const EndpointId&, const std::function<bool(const EndpointId&)>& isOut) const;
 
     std::vector<EndpointSighting> endpoints() const;
+    // Rises with each change of the list, heartbeats left out.
+    uint64_t revision() const { return m_history.revision(); }
+    // See digestOf(). It differs from the source's digest while this daemon leaves out endpoints that it saw go.
+    uint64_t digest() const { return m_digest; }
+    // See EndpointHistory::changesSince(). Includes the endpoints of withHeartbeats whether they have changed or not.
+    std::optional<EndpointChanges> changesSince(
+        uint64_t revision, const std::vector<EndpointId>& withHeartbeats = {}) const;
+    std::vector<EndpointId> silentEndpoints() const;
     size_t size() const { return m_endpoints.size(); }
     const EndpointSighting* find(const EndpointId&) const;
     Instant updatedAt() const { return m_updatedAt; }
     // When the platform came back from an outage, while entries that lapsed are waited for.
     std::optional<Instant> returnedAt(Instant now) const;
-    bool hasSilent() const { return !m_silent.empty(); }
 
 private:
     bool replace(std::map<EndpointId, EndpointSighting>);
+    bool adoptList(Instant updatedAt, std::map<EndpointId, EndpointSighting>, std::optional<Instant> returnedAt);
+    void recordChange(const EndpointId&);
+    void countSilentHeartbeats();
     void noteGone(Instant now, const std::map<EndpointId, EndpointSighting>& next);
     // What a daemon that waits for entries tells may be older than what this one has seen.
     void correctByOwn(Instant now, std::map<EndpointId, EndpointSighting>& next) const;
     bool isWithinReturn(Instant now) const { return m_returnedAt != Instant() && now - m_returnedAt < returnTime; }
 
     std::map<EndpointId, EndpointSighting> m_endpoints;
-    std::map<EndpointId, uint64_t> m_silent; // Heartbeats when the endpoint was marked.
+    EndpointHistory m_history; // Of m_endpoints.
+    uint64_t m_digest = 0; // Of m_endpoints.
+    struct SilentMark {
+        Instant markedAt {};
+        // By the first list that is not older than the mark. A daemon that follows another one has counts that are as
+        // old as the last change of the endpoint.
+        std::optional<uint64_t> heartbeats;
+    };
+
+    std::map<EndpointId, SilentMark> m_silent; // All of them are in m_endpoints.
     std::set<EndpointId> m_leaving; // Endpoints that said so themselves, while they are listed.
     std::map<EndpointId, Instant> m_goneAt; // Endpoints that were no longer listed while no entry was waited for.
     bool m_isAway = false; // The last read failed.
--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -45,6 +45,49 @@
         return it;
     }
 
+    Json encodeEndpoints(const std::vector<EndpointSighting>& endpoints)
+    {
+        auto list = Json::array();
+        for (const auto& it : endpoints)
+            list.push_back(encodeEndpoint(it));
+        return list;
+    }
+
+    std::vector<EndpointSighting> decodeEndpoints(const Json& json, const char* name)
+    {
+        std::vector<EndpointSighting> endpoints;
+        for (const auto& it : internal::listOf(json, name))
+            endpoints.push_back(decodeEndpoint(it));
+        return endpoints;
+    }
+
+    Json encodeIds(const std::vector<EndpointId>& ids)
+    {
+        auto list = Json::array();
+        for (const auto& it : ids)
+            list.push_back(it.value());
+        return list;
+    }
+
+    std::vector<EndpointId> decodeIds(const Json& json, const char* name)
+    {
+        std::vector<EndpointId> ids;
+        for (const auto& it : internal::listOf(json, name))
+            ids.emplace_back(it.get<std::string>());
+        return ids;
+    }
+
+    Json encodeChanges(const EndpointChanges& changes)
+    {
+        return { { "since", changes.since }, { "updated", encodeEndpoints(changes.updated) },
+            { "removed", encodeIds(changes.removed) } };
+    }
+
+    EndpointChanges decodeChanges(const Json& json)
+    {
+        return { numberOf<uint64_t>(json, "since"), decodeEndpoints(json, "updated"), decodeIds(json, "removed") };
+    }
+
     milliseconds ageOf(const Json& json, const char* name)
     {
         return milliseconds(numberOf<uint32_t>(json, name));
@@ -88,11 +131,12 @@
             facts.configurationDocument = textOf(json, "configuration");
         facts.endpointsRevision = numberOf<uint64_t>(json, "endpoints_revision");
         facts.endpointsAge = ageOf(json, "endpoints_age_ms");
-        if (json.contains("endpoints")) {
-            facts.endpoints.emplace();
-            for (const auto& it : internal::listOf(json, "endpoints"))
-                facts.endpoints->push_back(decodeEndpoint(it));
-        }
+        if (json.contains("endpoints"))
+            facts.endpoints = decodeEndpoints(json, "endpoints");
+        if (json.contains("changes"))
+            facts.changes = decodeChanges(internal::memberOf(json, "changes"));
+        if (json.contains("endpoints_digest"))
+            facts.endpointsDigest = numberOf<uint64_t>(json, "endpoints_digest");
         if (json.contains("returned_since_ms"))
             facts.returnedSince = ageOf(json, "returned_since_ms");
         facts.peers = numberOf<uint32_t>(json, "peers");
@@ -129,6 +173,10 @@
 std::string encodeOwnLoad(const FactQuestion& question)
 {
     Json json { { "asker", question.asker }, { "load", encodeLoad(question.load) } };
+    if (question.acceptsChanges) {
+        json["accepts_changes"] = true;
+        json["heartbeats_of"] = encodeIds(question.heartbeatsOf);
+    }
     return internal::dumpJson(json).value_or(std::string());
 }
 
@@ -149,6 +197,10 @@
     return internal::decodeJson(body, [&](const Json& json) {
         question.asker = textOf(json, "asker");
         question.load = decodeLoad(json);
+        if (json.contains("accepts_changes")) {
+            question.acceptsChanges = internal::flagOf(json, "accepts_changes");
+            question.heartbeatsOf = decodeIds(json, "heartbeats_of");
+        }
         return question;
     });
 }
@@ -162,11 +214,12 @@
         { "endpoints_revision", facts.endpointsRevision }, { "endpoints_age_ms", encodeAge(facts.endpointsAge) } };
     if (facts.configurationDocument)
         json["configuration"] = *facts.configurationDocument;
-    if (facts.endpoints) {
-        auto& list = json["endpoints"] = Json::array();
-        for (const auto& it : *facts.endpoints)
-            list.push_back(encodeEndpoint(it));
-    }
+    if (facts.endpoints)
+        json["endpoints"] = encodeEndpoints(*facts.endpoints);
+    if (facts.changes)
+        json["changes"] = encodeChanges(*facts.changes);
+    if (facts.endpointsDigest)
+        json["endpoints_digest"] = *facts.endpointsDigest;
     if (facts.returnedSince)
         json["returned_since_ms"] = encodeAge(*facts.returnedSince);
     if (facts.load)
--- a/src/router/FactRelay.h
+++ b/src/router/FactRelay.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include "router/Ports.h"
+#include "router/EndpointHistory.h"
 
 namespace jacinthspindle::router {
 
@@ -12,9 +12,12 @@
     uint64_t news = 0; // Of the last answer.
     uint64_t configurationVersion = 0;
     uint64_t endpointsRevision = 0;
-    bool wantsHeartbeats = false; // Send the endpoints also when nothing but their heartbeats has changed.
+    // Send all endpoints also when nothing but their heartbeats has changed; for daemons that send no changes.
+    bool wantsHeartbeats = false;
     std::string asker; // Names the start of the asking daemon; empty: it tells no load.
     std::vector<EndpointLoad> load; // Engines at which attempts of the asking daemon run.
+    bool acceptsChanges = false; // It takes changes in place of the whole list. Earlier releases do not.
+    std::vector<EndpointId> heartbeatsOf; // Endpoints that are sent also when only their heartbeats have changed.
     bool operator==(const FactQuestion&) const = default;
 };
 
@@ -30,6 +33,9 @@
     uint64_t endpointsRevision = 0; // 0: it has no list.
     std::chrono::milliseconds endpointsAge {};
     std::optional<std::vector<EndpointSighting>> endpoints; // Only when the asker has another list.
+    // In place of endpoints, when the asker accepts changes and its list is known.
+    std::optional<EndpointChanges> changes;
+    std::optional<uint64_t> endpointsDigest; // See digestOf(); earlier releases send none.
     // Time since the platform came back from an outage, while entries that lapsed are waited for.
     std::optional<std::chrono::milliseconds> returnedSince;
     uint32_t peers = 0; // Daemons of the answering daemon's data centre in the platform's list; 0: unknown.
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -36,6 +36,9 @@
     constexpr milliseconds lastingTime { 4000 };
     // Between two questions, so that a source that always has news is not asked all the time.
     constexpr milliseconds shortestAskInterval { 50 };
+    // Between two requests for the whole list because the own copy differs. It differs for a while without damage when
+    // this daemon leaves out endpoints that it saw go.
+    constexpr milliseconds wholeListInterval { 3000 };
 
 } // namespace
 
@@ -184,6 +187,7 @@
     question.news = m_last.news;
     question.endpointsRevision = m_last.endpointsRevision;
     question.asker = m_name;
+    question.acceptsChanges = true;
     Duration timeout = askTimeout;
     if (auto left = m_sourceSelector.searchTimeLeft(m_clock.now()))
         timeout = std::clamp<Duration>(*left, shortestAskTimeout, askTimeout);
@@ -211,6 +215,10 @@
         co_return PeerAnswer::Declined;
     if (std::max(facts->configurationAge, facts->endpointsAge) > longestFactAge)
         co_return fail("old facts");
+    if (facts->changes && (facts->source != question.source || facts->changes->since != question.endpointsRevision)) {
+        m_last.endpointsRevision = 0;
+        co_return fail("changes of another list");
+    }
     if (!m_port.adopt(*facts, askedAt))
         co_return fail("facts of no use");
     m_relayedHosts = facts->hosts;
@@ -218,10 +226,24 @@
     m_last.source = facts->source;
     m_last.news = facts->news;
     m_last.endpointsRevision = facts->endpointsRevision;
+    checkEndpoints(*facts);
     noteNews();
     co_return PeerAnswer::Useful;
 }
 
+// Requests the whole list if the copy that the changes were applied to differs from the source's list.
+void FactSharing::checkEndpoints(const Facts& facts)
+{
+    auto now = m_clock.now();
+    if (facts.endpoints)
+        m_wholeListAt = now;
+    bool isSame = !facts.endpointsDigest || *facts.endpointsDigest == m_port.digest();
+    if (isSame || now - m_wholeListAt < wholeListInterval)
+        return;
+    m_journal.write(LineKind::Warning, "endpoints-differ", { { "source", m_source } });
+    m_last.endpointsRevision = 0;
+}
+
 std::optional<std::vector<EndpointLoad>> FactSharing::load()
 {
     auto now = m_clock.now();
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -20,6 +20,7 @@
         ask; // What this daemon has; source, news and endpointsRevision are filled in elsewhere.
     // Another daemon answered a question that was asked at askedAt. False: the answer is of no use.
     std::function<bool(const Facts&, Instant askedAt)> adopt;
+    std::function<uint64_t()> digest; // Of the endpoints that this daemon has; see digestOf().
     // Completes what daemons told of their load by what engines reported themselves.
     std::function<std::vector<EndpointLoad>(std::vector<EndpointLoad>)> withReports;
 };
@@ -64,6 +65,7 @@
     std::optional<FactQuestion> receive(const TextRequest&);
     enum class PeerAnswer : uint8_t { Useful, Declined, Failed };
     net::awaitable<PeerAnswer> askPeer(const PeerHost&);
+    void checkEndpoints(const Facts&);
     bool isReadingWell() const;
     void setReading(bool isReading, const char* source);
     net::awaitable<void> sleep(Duration);
@@ -89,6 +91,7 @@
     LoadAggregator m_loadAggregator;
     Instant m_readingSince {}; // Valid while m_isReading.
     FactQuestion m_last; // Source, news and revision of the last answer.
+    Instant m_wholeListAt {}; // When the source last sent the whole list of endpoints.
 };
 
 } // namespace jacinthspindle::router
--- a/test/router/EndpointDirectoryTest.cpp
+++ b/test/router/EndpointDirectoryTest.cpp
@@ -3,6 +3,7 @@
 #include "router/EndpointDirectory.h"
 
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace jacinthspindle;
 using namespace std::chrono_literals;
@@ -100,8 +101,8 @@
 {
     EndpointDirectory directory;
     directory.update(start, { endpoint("a@1", "10.0.0.1:80", 7) });
-    directory.markSilent(EndpointId("a@1"));
-    directory.markSilent(EndpointId("unknown"));
+    directory.markSilent(start, EndpointId("a@1"));
+    directory.markSilent(start, EndpointId("unknown"));
     CHECK(directory.takeRecovered().empty());
     directory.update(start + 1s, { endpoint("a@1", "10.0.0.1:80", 8) });
     CHECK(directory.takeRecovered().empty());
@@ -110,6 +111,127 @@
     CHECK(directory.takeRecovered().empty());
 }
 
+// A follower receives the heartbeats of an endpoint only while it takes the endpoint for silent. Compared with a count
+// from before, the heartbeats that a lost endpoint had sent until then would count as recovery.
+TEST_CASE("heartbeats that an endpoint sent before it was marked as silent are no recovery")
+{
+    EndpointDirectory directory;
+    directory.adopt(start, { endpoint("a@1", "10.0.0.1:80", 7) }, std::nullopt);
+    directory.confirm(start + 20s);
+    directory.markSilent(start + 21s, EndpointId("a@1"));
+    CHECK(directory.silentEndpoints() == std::vector { EndpointId("a@1") });
+    auto adopt = [&](Duration at, uint64_t heartbeats) {
+        directory.adoptChanges(
+            start + at, { directory.revision(), { endpoint("a@1", "10.0.0.1:80", heartbeats) }, {} }, std::nullopt);
+        return directory.takeRecovered();
+    };
+    CHECK(adopt(20500ms, 24).empty());
+    CHECK(adopt(21500ms, 25).empty());
+    CHECK(adopt(22s, 25).empty());
+    CHECK(adopt(23s, 27) == std::vector { EndpointId("a@1") });
+    CHECK(directory.silentEndpoints().empty());
+}
+
+namespace {
+
+// A copy that receives the changes of a directory, or its whole list where there are none.
+struct Copy {
+    EndpointDirectory directory;
+    uint64_t base = 0; // Revision of the source that the copy shows.
+    int wholeLists = 0;
+
+    void follow(Instant now, const EndpointDirectory& source)
+    {
+        if (auto changes = source.changesSince(base)) {
+            directory.adoptChanges(now, *changes, std::nullopt);
+        } else {
+            directory.adopt(now, source.endpoints(), std::nullopt);
+            ++wholeLists;
+        }
+        base = source.revision();
+    }
+};
+
+} // namespace
+
+// A reader sent all of its 106 endpoints to 45 followers whenever one of them changed.
+TEST_CASE("a copy that receives changes equals the list after any of them, and needs the whole list once")
+{
+    std::mt19937 random { 7 };
+    EndpointDirectory source;
+    Copy copy;
+    for (int step = 1; step <= 500; ++step) {
+        std::vector<EndpointSighting> listed;
+        for (int i = 0; i < 20; ++i) {
+            // Each endpoint is absent, restarted or given other layers now and then.
+            if (random() % 10 == 0)
+                continue;
+            auto start = std::to_string(1 + (random() % 15 == 0));
+            listed.push_back(endpoint("e" + std::to_string(i) + '@' + start, "10.0.1." + std::to_string(i) + ":80"));
+            listed.back().layers = { 0, 10 + static_cast<uint32_t>(random() % 8 == 0) };
+        }
+        auto now = start + step * 1s;
+        source.update(now, listed);
+        if (random() % 3 == 0)
+            source.noteLeaving(listed.front().endpoint);
+        if (random() % 3 == 0)
+            source.notePace(listed.back().endpoint, 100 + static_cast<uint32_t>(random() % 3));
+        if (random() % 4 == 0)
+            continue; // The copy misses some revisions.
+        copy.follow(now, source);
+        CAPTURE(step);
+        REQUIRE(copy.directory.endpoints() == source.endpoints());
+        REQUIRE(copy.directory.digest() == source.digest());
+    }
+    CHECK(copy.wholeLists == 1);
+}
+
+TEST_CASE("changes name what differs, and the endpoints whose heartbeats are wanted")
+{
+    EndpointDirectory source;
+    source.update(start, { a, b, c });
+    auto base = source.revision();
+    CHECK(source.changesSince(base) == router::EndpointChanges { base, {}, {} });
+    source.update(start + 1s, { endpoint("a@1", "10.0.0.1:80", 9), b, d });
+    auto changes = source.changesSince(base, { a.endpoint, d.endpoint, EndpointId("unknown") });
+    REQUIRE(changes);
+    CHECK(changes->removed == std::vector { c.endpoint });
+    REQUIRE(changes->updated.size() == 2);
+    CHECK(changes->updated[0] == d);
+    CHECK(changes->updated[1].heartbeats == 9);
+}
+
+TEST_CASE("a copy without a base, of a later revision, or older than the removals that are kept needs the whole list")
+{
+    EndpointDirectory source;
+    CHECK_FALSE(source.changesSince(0));
+    source.update(start, { a });
+    auto base = source.revision();
+    CHECK_FALSE(source.changesSince(0));
+    CHECK_FALSE(source.changesSince(base + 1));
+    CHECK(source.changesSince(base));
+    for (size_t n = 0; n <= router::EndpointHistory::maxRemovals; ++n)
+        source.update(start + 1s, { endpoint("e@" + std::to_string(n), "10.0.0.9:80") });
+    CHECK_FALSE(source.changesSince(base));
+    CHECK(source.changesSince(source.revision() - 1));
+}
+
+// A daemon leaves out endpoints that it saw go while its source still waits for their entries.
+TEST_CASE("the digest tells a copy that lacks an endpoint of its source's list")
+{
+    EndpointDirectory source;
+    source.update(start, { a, b });
+    EndpointDirectory copy;
+    copy.update(start, { a, b });
+    CHECK(copy.digest() == source.digest());
+    copy.update(start + 1s, { a });
+    copy.adopt(start + 2s, { a, b }, start + 1500ms);
+    CHECK_FALSE(copy.find(b.endpoint));
+    CHECK(copy.digest() != source.digest());
+    copy.adopt(start + 20s, { a, b }, std::nullopt);
+    CHECK(copy.digest() == source.digest());
+}
+
 // A reader that the store had turned away for a moment kept an endpoint that had left, and the daemons of its data
 // centre took the endpoint back from it.
 TEST_CASE("a daemon that others told about the endpoints while its own read failed keeps no entry that is missing")
--- a/test/router/FactRelayTest.cpp
+++ b/test/router/FactRelayTest.cpp
@@ -40,6 +40,8 @@
     facts.reader = "host-4";
     facts.peers = 5;
     facts.load = { { EndpointId("i-1@1700000000000"), 12 } };
+    facts.changes = EndpointChanges { 3, { endpoint }, { EndpointId("i-2@1700000000000") } };
+    facts.endpointsDigest = 0xfedcba9876543210;
     return facts;
 }
 
@@ -50,7 +52,8 @@
     auto facts = sampleFacts();
     CHECK(decodeFacts(encodeFacts(facts)) == facts);
     CHECK(decodeFacts(encodeFacts(Facts {})) == Facts {});
-    FactQuestion question { "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } } };
+    FactQuestion question { "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } }, true,
+        { EndpointId("i-3@1700000000000") } };
     CHECK(decodeQuestion(encodeQuestion(question), encodeOwnLoad(question)) == question);
     CHECK(decodeQuestion(encodeQuestion({})) == FactQuestion {});
 }
@@ -68,6 +71,12 @@
         CAPTURE(body);
         CHECK(!decodeQuestion(target, body));
     }
+    for (const char* body : { R"({"asker":"a","load":[],"accepts_changes":1,"heartbeats_of":[]})",
+             R"({"asker":"a","load":[],"accepts_changes":true})",
+             R"({"asker":"a","load":[],"accepts_changes":true,"heartbeats_of":[7]})" }) {
+        CAPTURE(body);
+        CHECK(!decodeQuestion(target, body));
+    }
     auto text = encodeFacts(sampleFacts());
     for (const char* bad : { "", "{}", "[]", "null", "{\"source\":1}" }) {
         CAPTURE(bad);
@@ -77,6 +86,38 @@
         CHECK(!decodeFacts(text.substr(0, n)));
 }
 
+// Bytes of release 991feb1, which knows neither changes nor digests. Daemons of both releases run side by side during
+// an upgrade.
+TEST_CASE("questions and facts of the release before changes are readable")
+{
+    auto question
+        = decodeQuestion("/facts/12/9/4/1/host-1/17", R"({"asker":"host-2/3","load":[["i-1@1700000000000",2]]})");
+    REQUIRE(question);
+    CHECK(*question
+        == FactQuestion {
+            "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } }, false, {} });
+    auto facts
+        = decodeFacts(R"({"configuration_age_ms":340,"configuration_version":9,"endpoints":[["i-1@1700000000000",)"
+                      R"("i-1","assistant","north","10.1.0.9:8080","l4",192,true,10,20,77,1200]],)"
+                      R"("endpoints_age_ms":800,"endpoints_revision":4,"hosts":13,"is_reader":true,)"
+                      R"("load":[["i-1@1700000000000",12]],"news":12,"peers":5,"reader":"host-4",)"
+                      R"("returned_since_ms":1500,"source":"host-1/17"})");
+    REQUIRE(facts);
+    auto expected = sampleFacts();
+    expected.configurationDocument.reset();
+    expected.changes.reset();
+    expected.endpointsDigest.reset();
+    CHECK(*facts == expected);
+}
+
+TEST_CASE("a daemon of the release before changes is sent the same bytes as before")
+{
+    FactQuestion question { "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } }, false,
+        {} };
+    CHECK(encodeQuestion(question) == "/facts/12/9/4/1/host-1/17");
+    CHECK(encodeOwnLoad(question) == R"({"asker":"host-2/3","load":[["i-1@1700000000000",2]]})");
+}
+
 // A peer of another release or a broken one must not bring a daemon down.
 TEST_CASE("facts with changed bytes are refused or decoded, and never do harm")
 {
--- a/test/router/FactSharingTest.cpp
+++ b/test/router/FactSharingTest.cpp
@@ -47,18 +47,70 @@
     REQUIRE(facts.endpoints);
     CHECK(facts.endpoints->size() == 1);
 
-    auto later = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, false, {}, {} });
+    auto later = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, false, {}, {}, {}, {} });
     CHECK(later.news >= facts.news);
     CHECK(!later.configurationDocument);
     CHECK(!later.endpoints);
 
-    auto restarted = ask(router, { "host-1-before", facts.news, 9, facts.endpointsRevision, false, {}, {} });
+    auto restarted = ask(router, { "host-1-before", facts.news, 9, facts.endpointsRevision, false, {}, {}, {}, {} });
     CHECK_MESSAGE(restarted.endpoints, "the revision is that of another start");
 
-    auto withHeartbeats = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, true, {}, {} });
+    auto withHeartbeats = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, true, {}, {}, {}, {} });
     CHECK(withHeartbeats.endpoints);
 }
 
+namespace {
+
+router::Facts post(RouterFixture& router, const router::FactQuestion& question)
+{
+    auto body = encodeOwnLoad(question);
+    auto answer = talk(router.routerSettings().peerAddress,
+        "POST " + encodeQuestion(question) + " HTTP/1.1\r\nHost: peer\r\nConnection: close\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body);
+    auto end = answer.find("\r\n\r\n");
+    REQUIRE(end != std::string::npos);
+    auto facts = router::decodeFacts(answer.substr(end + 4));
+    REQUIRE(facts);
+    return *facts;
+}
+
+} // namespace
+
+TEST_CASE("a daemon sends changes to one that takes them, and the whole list to one of an earlier release")
+{
+    RouterFixture router("host-1", 700);
+    setVersion(router, 9);
+    router.start({ endpointAt("c1", "catalogue", closedAddress()), endpointAt("c2", "catalogue", closedAddress()) });
+    router::FactQuestion question;
+    question.asker = "host-2";
+    question.acceptsChanges = true;
+    auto first = post(router, question);
+    REQUIRE_MESSAGE(first.endpoints, "the list of the other daemon is not known");
+    CHECK(first.endpointsDigest);
+    CHECK_FALSE(first.changes);
+    {
+        std::lock_guard lock(router.platform().mutex);
+        router.platform().endpoints.back().isLeaving = true;
+    }
+    question.source = first.source;
+    question.configurationVersion = 9;
+    question.endpointsRevision = first.endpointsRevision;
+    CHECK(
+        RouterFixture::eventually([&] { return post(router, question).endpointsRevision > first.endpointsRevision; }));
+    auto later = post(router, question);
+    CHECK_FALSE(later.endpoints);
+    REQUIRE(later.changes);
+    CHECK(later.changes->since == first.endpointsRevision);
+    REQUIRE(later.changes->updated.size() == 1);
+    CHECK(later.changes->updated.front().endpoint == EndpointId("c2@1"));
+
+    question.acceptsChanges = false;
+    auto whole = post(router, question);
+    CHECK_FALSE(whole.changes);
+    REQUIRE(whole.endpoints);
+    CHECK(whole.endpoints->size() == 2);
+}
+
 // Every daemon read the store for itself: 139 of them spent a quarter of a quiet day's worth on calls.
 TEST_CASE("a daemon serves with what another one tells it and does not read the platform")
 {
