Keep a working source of facts, and wait with the reader while the platform is down

Cause: daemons returned to the first host of the order as soon as its pause ended, and took turns in asking all others whenever the reader had lost the platform: each of them then read the platform for two seconds.

Change: a source that returns facts is kept until it fails or declines. A reader that the platform does not answer says that it waits; its followers stay with it, and test the platform one after the other, the first eight hosts within 1.2 s and the rest a second apart. The one that is served tells the reader, which names it to all others. A reader that reads with success goes on while it asks a host before it. A stopping reader names its successor at once, before its process ends. A daemon that read directly for want of a source looks for one again as soon as it has read both kinds of facts. facts-source is logged when another host has sent facts, no longer when it is asked.

The simulation in FactSourceSelectorTest plays an outage of 8 s and hosts that the platform turns away.

--- a/include/spindlecore/FactSourceSelector.h
+++ b/include/spindlecore/FactSourceSelector.h
@@ -27,12 +27,15 @@
 enum class FactKind : uint8_t { Configuration, Endpoints };
 
 // The hosts of the own data centre are tried in a fixed order, the same on all of its daemons; a source that fails is
-// skipped for a while. A poor choice costs extra calls but not correctness, since all facts carry their age.
-// Deterministic and without I/O. Not thread-safe.
+// skipped for a while, and one that returns facts is kept until it fails or declines. While the platform does not
+// answer the reader, the others stay with it, and the first of them test the platform one after the other, since it may
+// serve some hosts and not others. A poor choice costs extra calls but not correctness, since all facts carry their
+// age. Deterministic and without I/O. Not thread-safe.
 class FactSourceSelector {
 public:
-    // When a search finds no source in time, this daemon reads the platform itself for this long, so that it receives
-    // changes within the platform's time limits. Then it looks for a source again.
+    // When a search finds no source in time, this daemon reads the platform itself, so that it receives changes within
+    // the platform's time limits. It looks for a source again once it has read facts, and after this time at the
+    // latest.
     static constexpr Duration directReadTime = std::chrono::milliseconds(2000);
     // A source that failed is not used for this long. The pause doubles with each consecutive failure, up to maxPause.
     static constexpr Duration minPause = std::chrono::milliseconds(4000);
@@ -52,6 +55,14 @@
     // Pause between two attempts to read the platform while it fails for this daemon and other daemons are the source.
     static constexpr Duration platformRetryPause = std::chrono::milliseconds(1000);
 
+    // While the reader waits for the platform, a daemon tests the platform after this delay per host before it. Hosts
+    // after the first frequentTesters wait much longer: if none of those is served, the platform is down.
+    static constexpr Duration testDelay = std::chrono::milliseconds(150);
+    static constexpr size_t frequentTesters = 8;
+    static constexpr Duration lateTestDelay = std::chrono::milliseconds(1000);
+    // Time between two tests of one daemon.
+    static constexpr Duration testInterval = std::chrono::milliseconds(4000);
+
     FactSourceSelector(HostId self, DataCentreId dataCentre, Duration searchTime = minSearchTime);
 
     // Replaces the list of hosts, which may include this daemon itself and hosts that no longer run.
@@ -67,6 +78,12 @@
     // since they could come back to the daemon that they came from. reader is the host that the source itself uses as
     // its source; empty when it has none.
     void recordDecline(Instant now, const HostId& source, const HostId& reader = {});
+    // Records that the source would read the platform, but the platform does not answer it. This daemon stays with the
+    // source and tests the platform itself after a delay that grows with its rank.
+    void recordWaiting(Instant now, const HostId& source);
+    // Records that this host reads the platform with success. It becomes the source while the platform does not answer
+    // this daemon.
+    void recordReader(const HostId&);
     // Records that the source returned facts.
     void recordResponse(const HostId& source);
     // Records whether the platform answered a read of this daemon.
@@ -74,6 +91,11 @@
     // Returns true for platformRetryPause after a failed read of either kind, unless a later read of the same kind
     // succeeds.
     bool isPlatformUnavailable(Instant now) const;
+    // Returns true when this daemon is the one of its data centre that is to read the platform, also while the platform
+    // does not answer it: it has no source, and no usable host precedes it.
+    bool isInCharge(Instant now) const;
+    // Returns the host of the own data centre that is to replace this daemon when it stops; empty: none.
+    HostId successor(Instant now) const;
     // Returns the time left to find a source before this daemon reads the platform itself, or nothing when no search is
     // in progress.
     std::optional<Duration> searchTimeLeft(Instant now) const;
@@ -99,6 +121,10 @@
     // Returns true when facts may be requested from this host now.
     bool isCandidate(Instant now, const PeerHost&) const;
     const PeerHost* find(const HostId&) const;
+    // Returns the source that is kept, or null when the order of hosts decides.
+    const PeerHost* keptSource(Instant now) const;
+    Duration delayOfTest() const;
+    void readDirectly(Instant now);
     // Starts or continues the search for a source. Ends it after m_searchTime, when this daemon starts to read the
     // platform itself.
     void updateSearch(Instant now);
@@ -109,8 +135,14 @@
     std::map<HostId, Pause> m_pauses; // By failed or declining source.
     const Duration m_searchTime;
     std::optional<Instant> m_searchingSince; // Start of the search for a source; empty: none in progress.
-    std::optional<Instant> m_failedAt; // Last failure of a source; reset when a source returns facts.
-    HostId m_knownReader; // The source named by the last host that declined; empty: none.
+    // Last failure of a source, or decline of a kept one; reset when a source returns facts.
+    std::optional<Instant> m_failedAt;
+    // The source named by the last host that declined, or a host that said that it is a reader; empty: none.
+    HostId m_knownReader;
+    HostId m_keptSource; // Returned facts, or waits for the platform; empty: none.
+    std::optional<Instant> m_waitingSince; // When the kept source was first seen to wait for the platform.
+    Instant m_testAgainAt {}; // After a failed test of the platform, no other one before this time.
+    std::array<bool, 2> m_hasAnswered {}; // By FactKind: the last read since m_readDirectlyUntil was set succeeded.
     Instant m_readDirectlyUntil {}; // Until then this daemon reads the platform itself.
     std::array<Instant, 2> m_platformUnavailableUntil {}; // By FactKind; set by a failed read.
 };
--- a/src/core/membership/FactSourceSelector.cpp
+++ b/src/core/membership/FactSourceSelector.cpp
@@ -65,18 +65,28 @@
         && (peer.dataCentre == m_dataCentre || isPlatformUnavailable(now));
 }
 
+const PeerHost* FactSourceSelector::keptSource(Instant now) const
+{
+    // The first host of the order reads the platform itself while it can.
+    bool isFirst = !m_hosts.empty() && m_hosts.front().host == m_self;
+    if (isFirst && !isPlatformUnavailable(now))
+        return nullptr;
+    // The known reader precedes the hosts in order, so that daemons share one reader.
+    for (const auto* host : { &m_knownReader, &m_keptSource }) {
+        const auto* peer = host->isEmpty() ? nullptr : find(*host);
+        if (peer && isCandidate(now, *peer))
+            return peer;
+    }
+    return nullptr;
+}
+
 const PeerHost* FactSourceSelector::currentSource(Instant now) const
 {
     bool isPlatformUnavailableNow = isPlatformUnavailable(now);
     if (now < m_readDirectlyUntil && !isPlatformUnavailableNow)
         return nullptr;
-    // The known reader precedes the hosts in order, so that daemons share one reader. The first host of the order
-    // ignores it and reads the platform itself while it can.
-    bool isFirst = !m_hosts.empty() && m_hosts.front().host == m_self;
-    const auto* reader
-        = m_knownReader.isEmpty() || (isFirst && !isPlatformUnavailableNow) ? nullptr : find(m_knownReader);
-    if (reader && isCandidate(now, *reader))
-        return reader;
+    if (const auto* kept = keptSource(now))
+        return kept;
     for (const auto& it : m_hosts) {
         if (it.host == m_self) {
             if (!isPlatformUnavailableNow)
@@ -97,6 +107,32 @@
         m_platformUnavailableUntil.begin(), m_platformUnavailableUntil.end(), [now](Instant it) { return now < it; });
 }
 
+bool FactSourceSelector::isInCharge(Instant now) const
+{
+    const auto* kept = keptSource(now);
+    if (kept && kept->dataCentre == m_dataCentre)
+        return false;
+    auto first = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const PeerHost& it) {
+        return it.host == m_self || (it.dataCentre == m_dataCentre && !isPaused(now, it.host));
+    });
+    return first == m_hosts.end() || first->host == m_self;
+}
+
+HostId FactSourceSelector::successor(Instant now) const
+{
+    auto it = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const PeerHost& peer) {
+        return peer.host != m_self && peer.dataCentre == m_dataCentre && !isPaused(now, peer.host);
+    });
+    return it == m_hosts.end() ? HostId() : it->host;
+}
+
+Duration FactSourceSelector::delayOfTest() const
+{
+    auto rank = rankInDataCentre().value_or(m_hosts.size());
+    auto late = rank - std::min(rank, frequentTesters);
+    return testDelay * std::min(rank, frequentTesters) + lateTestDelay * late;
+}
+
 void FactSourceSelector::pause(Instant now, const HostId& source)
 {
     auto& pause = m_pauses[source];
@@ -110,10 +146,16 @@
         m_searchingSince = now;
     if (now - *m_searchingSince < m_searchTime)
         return;
-    m_readDirectlyUntil = now + directReadTime;
+    readDirectly(now);
     m_searchingSince.reset();
 }
 
+void FactSourceSelector::readDirectly(Instant now)
+{
+    m_readDirectlyUntil = now + directReadTime;
+    m_hasAnswered = {};
+}
+
 std::optional<Duration> FactSourceSelector::searchTimeLeft(Instant now) const
 {
     if (!m_searchingSince)
@@ -125,8 +167,11 @@
 {
     pause(now, source);
     m_failedAt = now;
+    m_waitingSince.reset();
     if (m_knownReader == source)
         m_knownReader = {};
+    if (m_keptSource == source)
+        m_keptSource = {};
     updateSearch(now);
 }
 
@@ -134,13 +179,46 @@
 {
     bool mayBecomeReader = m_failedAt && now - *m_failedAt < detectionSpread;
     m_pauses[source].until = now + (mayBecomeReader ? shortDeclinePause : minPause);
-    m_knownReader = reader == source ? HostId() : reader;
+    // Daemons that follow a source learn at about the same time that it is no longer a reader.
+    if (m_keptSource == source)
+        m_failedAt = now;
+    // A host that uses this daemon as its source knows of no reader.
+    bool namesNone = reader == source || reader == m_self;
+    if (!namesNone)
+        m_knownReader = reader;
+    else if (m_knownReader == source)
+        m_knownReader = {};
+    m_waitingSince.reset();
+    if (m_keptSource == source)
+        m_keptSource = {};
     updateSearch(now);
 }
 
+void FactSourceSelector::recordWaiting(Instant now, const HostId& source)
+{
+    m_keptSource = source;
+    m_knownReader = {};
+    m_searchingSince.reset();
+    if (!m_waitingSince)
+        m_waitingSince = now;
+    if (now < *m_waitingSince + delayOfTest() || now < m_testAgainAt)
+        return;
+    readDirectly(now);
+    m_testAgainAt = now + testInterval;
+}
+
+void FactSourceSelector::recordReader(const HostId& reader)
+{
+    m_knownReader = reader;
+    // It may have declined a short while ago.
+    m_pauses.erase(reader);
+}
+
 void FactSourceSelector::recordResponse(const HostId& source)
 {
     m_pauses.erase(source);
+    m_keptSource = source;
+    m_waitingSince.reset();
     m_searchingSince.reset();
     m_failedAt.reset();
 }
@@ -148,6 +226,12 @@
 void FactSourceSelector::recordPlatformRead(Instant now, FactKind kind, bool didAnswer)
 {
     m_platformUnavailableUntil[static_cast<size_t>(kind)] = didAnswer ? Instant() : now + platformRetryPause;
+    m_hasAnswered[static_cast<size_t>(kind)] = didAnswer;
+    if (didAnswer)
+        m_searchingSince.reset();
+    // Once both kinds are read, this daemon goes on reading while it looks for another reader.
+    if (!didAnswer || (m_hasAnswered[0] && m_hasAnswered[1]))
+        m_readDirectlyUntil = {};
 }
 
 } // namespace jacinthspindle
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -102,6 +102,12 @@
     net::co_spawn(m_io, m_planner.run(), net::detached);
 }
 
+void Control::resign()
+{
+    m_planner.resign();
+    m_sharing.resign();
+}
+
 void Control::postInput(CoreInput input)
 {
     net::post(m_io, [this, input = std::move(input)] {
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -28,7 +28,7 @@
     void start(Traffic& traffic);
 
     // The process has begun to drain.
-    void resign() { m_planner.resign(); }
+    void resign();
 
     // Answers another daemon; see FactSharing.
     net::awaitable<TextAnswer> answerPeer(TextRequest request) { return m_sharing.answer(std::move(request)); }
--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -124,6 +124,7 @@
         facts.news = numberOf<uint64_t>(json, "news");
         facts.isReader = internal::flagOf(json, "is_reader");
         facts.reader = textOf(json, "reader");
+        facts.isWaiting = json.contains("is_waiting") && internal::flagOf(json, "is_waiting");
         facts.hosts = numberOf<uint32_t>(json, "hosts");
         facts.configurationVersion = numberOf<uint64_t>(json, "configuration_version");
         facts.configurationAge = ageOf(json, "configuration_age_ms");
@@ -175,6 +176,8 @@
     Json json { { "asker", question.asker }, { "load", encodeLoad(question.load) } };
     if (question.acceptsChanges) {
         json["accepts_changes"] = true;
+        json["host"] = question.host.value();
+        json["is_reader"] = question.isReader;
         json["heartbeats_of"] = encodeIds(question.heartbeatsOf);
     }
     return internal::dumpJson(json).value_or(std::string());
@@ -199,6 +202,8 @@
         question.load = decodeLoad(json);
         if (json.contains("accepts_changes")) {
             question.acceptsChanges = internal::flagOf(json, "accepts_changes");
+            question.host = HostId(textOf(json, "host"));
+            question.isReader = internal::flagOf(json, "is_reader");
             question.heartbeatsOf = decodeIds(json, "heartbeats_of");
         }
         return question;
@@ -208,8 +213,8 @@
 std::string encodeFacts(const Facts& facts)
 {
     Json json { { "source", facts.source }, { "news", facts.news }, { "is_reader", facts.isReader },
-        { "reader", facts.reader }, { "hosts", facts.hosts }, { "peers", facts.peers },
-        { "configuration_version", facts.configurationVersion },
+        { "reader", facts.reader }, { "is_waiting", facts.isWaiting }, { "hosts", facts.hosts },
+        { "peers", facts.peers }, { "configuration_version", facts.configurationVersion },
         { "configuration_age_ms", encodeAge(facts.configurationAge) },
         { "endpoints_revision", facts.endpointsRevision }, { "endpoints_age_ms", encodeAge(facts.endpointsAge) } };
     if (facts.configurationDocument)
--- a/src/router/FactRelay.h
+++ b/src/router/FactRelay.h
@@ -17,6 +17,8 @@
     std::string asker; // Names the start of the asking daemon; empty: it tells no load.
     std::vector<EndpointLoad> load; // Engines at which attempts of the asking daemon run.
     bool acceptsChanges = false; // It takes changes in place of the whole list. Earlier releases do not.
+    HostId host; // Of the asking daemon; empty from earlier releases.
+    bool isReader = false; // The asking daemon reads the platform itself, with success.
     std::vector<EndpointId> heartbeatsOf; // Endpoints that are sent also when only their heartbeats have changed.
     bool operator==(const FactQuestion&) const = default;
 };
@@ -25,7 +27,9 @@
     std::string source; // Names the start of the answering daemon; news and endpointsRevision are its own counts.
     uint64_t news = 0; // Rises with each answer of the platform.
     bool isReader = false; // It reads the platform itself, with success.
-    std::string reader; // Host that the answering daemon asks itself; empty when there is none.
+    std::string reader; // Host of the data centre that is to be asked instead; empty when there is none.
+    // It is to read the platform, which does not answer it. Other daemons do better to wait than to ask further hosts.
+    bool isWaiting = false;
     uint32_t hosts = 0; // Daemons in the platform's list; 0: unknown.
     uint64_t configurationVersion = 0; // 0: it has none.
     std::chrono::milliseconds configurationAge {}; // When the answer was made.
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -12,6 +12,9 @@
     constexpr milliseconds longestAnswerWait { 500 };
     // Daemons that lose a common source turn to the next host at the same time as it begins to read.
     constexpr milliseconds longestReaderWait { 100 };
+    // Daemons that wait for the platform with this one ask again after this time, so that each can test the platform
+    // itself at its time.
+    constexpr milliseconds longestWaitForPlatform { 200 };
     // A source without an answer for this long counts as failed. A change of the configuration must be followed within
     // 2 s, also when the source froze right before it.
     constexpr milliseconds askTimeout { 900 };
@@ -141,45 +144,86 @@
     }
 }
 
-void FactSharing::setReading(bool isReading, const char* source)
+void FactSharing::setReading(bool isReading)
 {
     m_isReading = isReading;
     m_readingSince = m_clock.now();
     m_hasRead = {};
     // Own reads may change the list, so that the source has to send it again.
     m_last.endpointsRevision = 0;
-    m_journal.write(LineKind::Info, "facts-source", { { "source", source }, { "hosts", m_sourceSelector.hosts() } });
     m_change.notify();
 }
 
+void FactSharing::setSource(const std::string& source)
+{
+    m_source = source;
+    auto name = source.empty() ? std::string("platform") : source;
+    if (name == m_loggedSource)
+        return;
+    m_loggedSource = name;
+    m_journal.write(LineKind::Info, "facts-source", { { "source", name }, { "hosts", m_sourceSelector.hosts() } });
+    m_change.notify();
+}
+
+// A daemon that reads with success goes on while it asks another one, until that one proves to be a reader.
 net::awaitable<void> FactSharing::followPeers()
 {
     while (true) {
         const auto* current = m_sourceSelector.currentSource(m_clock.now());
         if (!current) {
             if (!m_isReading)
-                setReading(true, "platform");
-            m_source.clear();
+                setReading(true);
+            setSource({});
             co_await sleep(sourceCheckInterval);
             continue;
         }
         auto peer = *current;
-        if (m_source != peer.host.value()) {
-            m_source = peer.host.value();
+        if (m_asked != peer.host.value() || !m_caller) {
+            m_asked = peer.host.value();
             m_caller.emplace(m_io.get_executor(), peer.address);
-            setReading(false, m_source.c_str());
         }
+        if (m_isReading && !isReadingWell())
+            setReading(false);
         auto outcome = co_await askPeer(peer);
-        if (outcome == PeerAnswer::Failed)
-            m_sourceSelector.recordFailure(m_clock.now(), peer.host);
-        else if (outcome == PeerAnswer::Declined)
-            m_sourceSelector.recordDecline(m_clock.now(), peer.host, m_namedReader);
-        else
-            m_sourceSelector.recordResponse(peer.host);
+        recordAnswer(peer, outcome);
         co_await sleep(shortestAskInterval);
     }
 }
 
+void FactSharing::recordAnswer(const PeerHost& peer, PeerAnswer answer)
+{
+    auto now = m_clock.now();
+    bool isReading = isReadingWell();
+    if (answer == PeerAnswer::Failed) {
+        m_sourceSelector.recordFailure(now, peer.host);
+    } else if (answer == PeerAnswer::Declined || (answer == PeerAnswer::Waiting && isReading)) {
+        m_sourceSelector.recordDecline(now, peer.host, m_namedReader);
+    } else if (answer == PeerAnswer::Waiting) {
+        m_sourceSelector.recordWaiting(now, peer.host);
+    } else {
+        m_sourceSelector.recordResponse(peer.host);
+        if (m_isReading)
+            setReading(false);
+        setSource(peer.host.value());
+    }
+}
+
+std::string FactSharing::namedReader() const
+{
+    auto now = m_clock.now();
+    if (m_isResigned)
+        return m_sourceSelector.successor(now).value();
+    if (m_sourceSelector.isInCharge(now))
+        return {};
+    return m_sourceSelector.currentSource(now) ? m_source : std::string();
+}
+
+void FactSharing::resign()
+{
+    m_isResigned = true;
+    m_change.notify();
+}
+
 net::awaitable<FactSharing::PeerAnswer> FactSharing::askPeer(const PeerHost& peer)
 {
     auto question = m_port.ask();
@@ -188,6 +232,8 @@
     question.endpointsRevision = m_last.endpointsRevision;
     question.asker = m_name;
     question.acceptsChanges = true;
+    question.host = m_self.host;
+    question.isReader = isReadingWell();
     Duration timeout = askTimeout;
     if (auto left = m_sourceSelector.searchTimeLeft(m_clock.now()))
         timeout = std::clamp<Duration>(*left, shortestAskTimeout, askTimeout);
@@ -212,7 +258,7 @@
     }
     m_namedReader = HostId(facts->reader);
     if (!facts->isReader)
-        co_return PeerAnswer::Declined;
+        co_return facts->isWaiting ? PeerAnswer::Waiting : PeerAnswer::Declined;
     if (std::max(facts->configurationAge, facts->endpointsAge) > longestFactAge)
         co_return fail("old facts");
     if (facts->changes && (facts->source != question.source || facts->changes->since != question.endpointsRevision)) {
@@ -261,6 +307,10 @@
     m_metrics.add(question ? daemon::Counter::PeerMessagesReceived : daemon::Counter::PeerMessagesRejected);
     if (question && !question->asker.empty())
         m_loadAggregator.updateReport(m_clock.now(), question->asker, question->load);
+    if (question && question->isReader && !question->host.isEmpty() && !isReadingWell()) {
+        m_sourceSelector.recordReader(question->host);
+        m_change.notify();
+    }
     return question;
 }
 
@@ -271,20 +321,25 @@
         co_return TextAnswer { 404, {} };
     bool isOwnAnswer = question->source == m_name;
     auto askedAt = m_clock.now();
-    while (!isReadingWell() && m_clock.now() < askedAt + longestReaderWait)
+    auto isReader = [this] { return isReadingWell() && !m_isResigned; };
+    // Daemons that wait for the platform with this one are answered as soon as another one is known to read it.
+    while (!isReader() && isInCharge() && !m_isResigned && m_clock.now() < askedAt + longestWaitForPlatform)
+        co_await m_change.wait();
+    while (!isReader() && !isInCharge() && !m_isResigned && m_clock.now() < askedAt + longestReaderWait)
         co_await m_change.wait();
     auto until = askedAt + longestAnswerWait;
     // A daemon that has just started has nothing to tell yet.
     auto hasNews = [&] { return m_news && (!isOwnAnswer || question->news != m_news); };
-    while (isReadingWell() && !hasNews() && m_clock.now() < until)
+    while (isReader() && !hasNews() && m_clock.now() < until)
         co_await m_change.wait();
     if (!isOwnAnswer)
         question->endpointsRevision = 0;
     auto facts = m_port.tell(*question);
     facts.source = m_name;
     facts.news = m_news;
-    facts.isReader = isReadingWell();
-    facts.reader = m_source;
+    facts.isReader = isReader();
+    facts.reader = namedReader();
+    facts.isWaiting = !facts.isReader && !m_isResigned && isInCharge();
     facts.hosts = static_cast<uint32_t>(hosts());
     facts.peers = static_cast<uint32_t>(peers());
     if (auto told = load())
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -46,6 +46,8 @@
     Duration retryPause() const { return m_sourceSelector.retryPause(); }
     // The platform did or did not answer this daemon.
     void recordPlatformRead(FactKind, bool didAnswer);
+    // The process ends soon: daemons that follow this one are sent to another host.
+    void resign();
     // What this daemon knows has changed or was confirmed.
     void noteNews();
 
@@ -63,11 +65,16 @@
     net::awaitable<bool> enterHosts();
     net::awaitable<void> followPeers();
     std::optional<FactQuestion> receive(const TextRequest&);
-    enum class PeerAnswer : uint8_t { Useful, Declined, Failed };
+    enum class PeerAnswer : uint8_t { Useful, Waiting, Declined, Failed };
     net::awaitable<PeerAnswer> askPeer(const PeerHost&);
     void checkEndpoints(const Facts&);
     bool isReadingWell() const;
-    void setReading(bool isReading, const char* source);
+    void setReading(bool isReading);
+    void setSource(const std::string& source);
+    void recordAnswer(const PeerHost&, PeerAnswer);
+    // Host of the data centre that reads the platform in place of this daemon; empty: none is known.
+    std::string namedReader() const;
+    bool isInCharge() const { return m_sourceSelector.isInCharge(m_clock.now()); }
     net::awaitable<void> sleep(Duration);
 
     net::io_context& m_io;
@@ -83,8 +90,11 @@
     uint64_t m_news = 0;
     bool m_isReading = false;
     std::array<bool, 2> m_hasRead {}; // By kind: the platform has answered since m_isReading was set.
-    std::string m_source; // Host that is asked; empty while this daemon reads the platform itself.
-    std::optional<HttpCaller> m_caller; // To m_source.
+    bool m_isResigned = false;
+    std::string m_source; // Host that last sent facts; empty while this daemon reads the platform itself.
+    std::string m_loggedSource;
+    std::string m_asked; // Host that is asked, which may still have to become the source.
+    std::optional<HttpCaller> m_caller; // To m_asked.
     size_t m_relayedHosts = 0; // As the source last told.
     size_t m_relayedPeers = 0; // As the source last told.
     HostId m_namedReader; // That the last answer named as the source of the answering daemon.
--- a/test/core/FactSourceSelectorTest.cpp
+++ b/test/core/FactSourceSelectorTest.cpp
@@ -1,6 +1,7 @@
 // Tests of the selection of a daemon's source of facts: another daemon or the platform.
 
 #include <doctest/doctest.h>
+#include <functional>
 #include <spindlecore/FactSourceSelector.h>
 
 using namespace jacinthspindle;
@@ -303,3 +304,210 @@
     CAPTURE(readers);
     CHECK(readers < FrozenReaderSimulation::daemons / 10.0);
 }
+
+namespace {
+
+// Simulates the daemons of one data centre, of which the first one reads the platform and is the source of the others,
+// over an outage of the platform for some or all of them.
+class OutageSimulation {
+public:
+    static constexpr size_t daemons = 45;
+    static constexpr Duration step = 10ms;
+    static constexpr Duration searchTime = 1300ms;
+
+    using Serves = std::function<bool(size_t daemon, Duration at)>;
+
+    explicit OutageSimulation(Serves platformServes)
+        : m_platformServes(std::move(platformServes))
+    {
+        std::vector<PeerHost> all;
+        for (size_t i = 0; i < daemons; ++i)
+            all.push_back({ HostId("n" + std::to_string(100 + i)), north, "10.1.0.1:7340", 100 });
+        for (size_t i = 0; i < daemons; ++i) {
+            m_list.push_back({ FactSourceSelector(all[i].host, north, searchTime), {}, {}, {}, {}, {} });
+            m_list.back().selector.setHosts(all);
+            m_list.back().busyUntil = start + i * 10ms;
+            m_list.back().factsAt = start;
+        }
+        for (size_t i = 1; i < daemons; ++i)
+            m_list[i].selector.recordResponse(HostId("n100"));
+        m_list.front().isReading = true;
+        m_list.front().hasRead = true;
+    }
+
+    // Simulates this time from the start.
+    void run(Duration time)
+    {
+        for (auto now = start; now < start + time; now += step) {
+            for (size_t i = 0; i < daemons; ++i)
+                advance(now, i);
+        }
+    }
+
+    // Returns the longest time since a daemon last had facts.
+    Duration longestWithoutFacts(Duration at) const
+    {
+        Duration longest {};
+        for (const auto& it : m_list)
+            longest = std::max(longest, start + at - it.factsAt);
+        return longest;
+    }
+
+    size_t platformReads = 0;
+    size_t sourceChanges = 0;
+
+private:
+    struct Daemon {
+        FactSourceSelector selector;
+        Instant busyUntil {}; // End of the current question.
+        Instant readAt {}; // Next read of the platform, while it reads.
+        Instant factsAt {}; // Last read or answer with facts.
+        std::string asked; // Host that is asked; empty: none.
+        std::string source; // Host that last returned facts; empty: the platform.
+        bool isReading = false;
+        bool hasRead = false; // The last read succeeded.
+    };
+
+    static size_t indexOf(const std::string& host) { return std::stoul(host.substr(1)) - 100; }
+
+    static bool isReadingWell(const Daemon& it) { return it.isReading && it.hasRead; }
+
+    void setSource(Daemon& it, const std::string& source)
+    {
+        sourceChanges += it.source != source;
+        it.source = source;
+    }
+
+    void advance(Instant now, size_t index)
+    {
+        auto& it = m_list[index];
+        if (it.isReading && now >= it.readAt)
+            read(now, index);
+        if (now < it.busyUntil)
+            return;
+        if (!it.asked.empty())
+            complete(now, index);
+        const auto* next = it.selector.currentSource(now);
+        it.asked = next ? next->host.value() : "";
+        if (!next) {
+            it.hasRead = it.hasRead && it.isReading;
+            it.isReading = true;
+            setSource(it, "");
+            it.busyUntil = now + 100ms;
+            return;
+        }
+        if (!isReadingWell(it))
+            it.isReading = false;
+        auto& other = m_list[indexOf(it.asked)];
+        if (isReadingWell(it) && !isReadingWell(other))
+            other.selector.recordReader(HostId("n" + std::to_string(100 + index)));
+        it.busyUntil = now + timeToAnswer(now, it, other);
+    }
+
+    // A reader has news at once for a daemon that did not follow it before.
+    static Duration timeToAnswer(Instant now, const Daemon& asking, const Daemon& asked)
+    {
+        if (isReadingWell(asked))
+            return asking.source == asking.asked ? 500ms : 10ms;
+        return asked.selector.isInCharge(now) ? 200ms : 150ms;
+    }
+
+    void read(Instant now, size_t index)
+    {
+        auto& it = m_list[index];
+        ++platformReads;
+        it.hasRead = m_platformServes(index, now - start);
+        it.selector.recordPlatformRead(now, FactKind::Configuration, it.hasRead);
+        it.selector.recordPlatformRead(now, FactKind::Endpoints, it.hasRead);
+        it.readAt = now + (it.hasRead ? Duration(900ms) : it.selector.retryPause());
+        if (it.hasRead)
+            it.factsAt = now;
+    }
+
+    void complete(Instant now, size_t index)
+    {
+        auto& it = m_list[index];
+        auto& other = m_list[indexOf(it.asked)];
+        HostId host(it.asked);
+        if (isReadingWell(other)) {
+            it.selector.recordResponse(host);
+            it.isReading = false;
+            it.factsAt = now;
+            setSource(it, it.asked);
+        } else if (other.selector.isInCharge(now) && !isReadingWell(it)) {
+            it.selector.recordWaiting(now, host);
+        } else {
+            it.selector.recordDecline(now, host, HostId(other.source));
+        }
+    }
+
+    Serves m_platformServes;
+    std::vector<Daemon> m_list;
+};
+
+} // namespace
+
+// Guards against a burst of calls and of changes of the source: when the platform was away for 8 s, all daemons of a
+// data centre asked each other in turn and then turned to the platform themselves, over and over.
+TEST_CASE("while the platform is down, daemons wait with their reader and few of them test the platform")
+{
+    static constexpr Duration outage = 8s;
+    OutageSimulation simulation([](size_t, Duration at) { return at < 1s || at >= 1s + outage; });
+    simulation.run(outage);
+    CAPTURE(simulation.platformReads);
+    CAPTURE(simulation.sourceChanges);
+    CHECK_MESSAGE(simulation.platformReads < 2 * OutageSimulation::daemons, "two reads per daemon in 8 s");
+    CHECK_MESSAGE(simulation.sourceChanges < 2 * OutageSimulation::daemons, "two changes per daemon");
+    SUBCASE("all of them have facts again soon after its return")
+    {
+        OutageSimulation longer([](size_t, Duration at) { return at < 1s || at >= 1s + outage; });
+        longer.run(outage + 4s);
+        CHECK(longer.longestWithoutFacts(outage + 4s) < 1500ms);
+    }
+}
+
+TEST_CASE("when the platform turns away the first hosts of a data centre, the others find a reader that it serves")
+{
+    constexpr Duration changeBound = 3s;
+    for (size_t turnedAway : { 1U, 2U, 4U, 7U }) {
+        CAPTURE(turnedAway);
+        OutageSimulation simulation([&](size_t daemon, Duration at) { return at < 1s || daemon >= turnedAway; });
+        simulation.run(1s + changeBound + 1s);
+        CHECK(simulation.longestWithoutFacts(1s + changeBound + 1s) < changeBound);
+        simulation.run(8s);
+        CAPTURE(simulation.platformReads);
+        CHECK(simulation.platformReads < 4 * OutageSimulation::daemons);
+    }
+}
+
+TEST_CASE("a source that returns facts is kept although a host before it is usable again")
+{
+    FactSourceSelector selector(HostId("n3"), north);
+    selector.setHosts(hosts());
+    selector.recordFailure(start, HostId("n2"));
+    selector.recordResponse(HostId("n1"));
+    CHECK(nameOf(selector.currentSource(start + FactSourceSelector::maxPause)) == "n1");
+    selector.recordDecline(start + FactSourceSelector::maxPause, HostId("n1"), HostId("n2"));
+    CHECK(nameOf(selector.currentSource(start + FactSourceSelector::maxPause)) == "n2");
+}
+
+// A daemon that stops sends its followers to the next host, which has to find out that it is meant.
+TEST_CASE("the host that a stopping reader names reads the platform, and the others try it again soon")
+{
+    FactSourceSelector reader(HostId("n2"), north);
+    reader.setHosts(hosts());
+    CHECK(reader.successor(start) == HostId("n1"));
+    FactSourceSelector next(HostId("n1"), north);
+    next.setHosts(hosts());
+    next.recordResponse(HostId("n2"));
+    next.recordDecline(start, HostId("n2"), HostId("n1"));
+    CHECK(nameOf(next.currentSource(start)) == "itself");
+    CHECK(next.isInCharge(start));
+    FactSourceSelector other(HostId("n3"), north);
+    other.setHosts(hosts());
+    other.recordResponse(HostId("n2"));
+    other.recordDecline(start, HostId("n2"), HostId("n1"));
+    CHECK(nameOf(other.currentSource(start)) == "n1");
+    other.recordDecline(start, HostId("n1"));
+    CHECK(nameOf(other.currentSource(start + FactSourceSelector::shortDeclinePause)) == "n1");
+}
--- a/test/router/FactRelayTest.cpp
+++ b/test/router/FactRelayTest.cpp
@@ -38,6 +38,7 @@
     facts.endpoints = { endpoint };
     facts.returnedSince = 1500ms;
     facts.reader = "host-4";
+    facts.isWaiting = true;
     facts.peers = 5;
     facts.load = { { EndpointId("i-1@1700000000000"), 12 } };
     facts.changes = EndpointChanges { 3, { endpoint }, { EndpointId("i-2@1700000000000") } };
@@ -53,7 +54,7 @@
     CHECK(decodeFacts(encodeFacts(facts)) == facts);
     CHECK(decodeFacts(encodeFacts(Facts {})) == Facts {});
     FactQuestion question { "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } }, true,
-        { EndpointId("i-3@1700000000000") } };
+        HostId("host-2"), true, { EndpointId("i-3@1700000000000") } };
     CHECK(decodeQuestion(encodeQuestion(question), encodeOwnLoad(question)) == question);
     CHECK(decodeQuestion(encodeQuestion({})) == FactQuestion {});
 }
@@ -71,9 +72,10 @@
         CAPTURE(body);
         CHECK(!decodeQuestion(target, body));
     }
-    for (const char* body : { R"({"asker":"a","load":[],"accepts_changes":1,"heartbeats_of":[]})",
-             R"({"asker":"a","load":[],"accepts_changes":true})",
-             R"({"asker":"a","load":[],"accepts_changes":true,"heartbeats_of":[7]})" }) {
+    for (const char* body :
+        { R"({"asker":"a","load":[],"accepts_changes":1,"host":"h","is_reader":true,"heartbeats_of":[]})",
+            R"({"asker":"a","load":[],"accepts_changes":true})",
+            R"({"asker":"a","load":[],"accepts_changes":true,"host":"h","is_reader":true,"heartbeats_of":[7]})" }) {
         CAPTURE(body);
         CHECK(!decodeQuestion(target, body));
     }
@@ -94,8 +96,8 @@
         = decodeQuestion("/facts/12/9/4/1/host-1/17", R"({"asker":"host-2/3","load":[["i-1@1700000000000",2]]})");
     REQUIRE(question);
     CHECK(*question
-        == FactQuestion {
-            "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } }, false, {} });
+        == FactQuestion { "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } }, false,
+            {}, false, {} });
     auto facts
         = decodeFacts(R"({"configuration_age_ms":340,"configuration_version":9,"endpoints":[["i-1@1700000000000",)"
                       R"("i-1","assistant","north","10.1.0.9:8080","l4",192,true,10,20,77,1200]],)"
@@ -107,13 +109,14 @@
     expected.configurationDocument.reset();
     expected.changes.reset();
     expected.endpointsDigest.reset();
+    expected.isWaiting = false;
     CHECK(*facts == expected);
 }
 
 TEST_CASE("a daemon of the release before changes is sent the same bytes as before")
 {
     FactQuestion question { "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } }, false,
-        {} };
+        {}, false, {} };
     CHECK(encodeQuestion(question) == "/facts/12/9/4/1/host-1/17");
     CHECK(encodeOwnLoad(question) == R"({"asker":"host-2/3","load":[["i-1@1700000000000",2]]})");
 }
--- a/test/router/FactSharingTest.cpp
+++ b/test/router/FactSharingTest.cpp
@@ -47,15 +47,18 @@
     REQUIRE(facts.endpoints);
     CHECK(facts.endpoints->size() == 1);
 
-    auto later = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, false, {}, {}, {}, {} });
+    auto later
+        = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, false, {}, {}, false, {}, false, {} });
     CHECK(later.news >= facts.news);
     CHECK(!later.configurationDocument);
     CHECK(!later.endpoints);
 
-    auto restarted = ask(router, { "host-1-before", facts.news, 9, facts.endpointsRevision, false, {}, {}, {}, {} });
+    auto restarted
+        = ask(router, { "host-1-before", facts.news, 9, facts.endpointsRevision, false, {}, {}, false, {}, false, {} });
     CHECK_MESSAGE(restarted.endpoints, "the revision is that of another start");
 
-    auto withHeartbeats = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, true, {}, {}, {}, {} });
+    auto withHeartbeats
+        = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, true, {}, {}, false, {}, false, {} });
     CHECK(withHeartbeats.endpoints);
 }
 
