Bound the load that a reader sends to its followers by a share of its link

Cause: a reader sends the load of its data centre's engines with each answer, about 40 bytes an engine, some three times a second to each follower: 180 kB a second at 45 followers and 35 engines, 11 MB/s at 100 followers and 1,000 engines, where readers have 200 Mbit/s and some hosts 14.

Change: LoadPace lets the load take a fifth of the reader's declared link; a larger fleet is sent it less often, at least each 1.5 s. At today's fleets and links the interval is 0.04 s to 0.5 s.

Ruled out for now: positions in the list in place of names, which would shorten an entry to 7 bytes, but need both sides to hold the same list.

--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -57,6 +57,7 @@
     , m_name(std::move(name))
     , m_sourceSelector(settings.host, settings.dataCentre, settings.changeBound - timeWithoutSource)
     , m_change(io)
+    , m_loadPace(settings.linkMbps)
 {
 }
 
@@ -342,8 +343,12 @@
     facts.isWaiting = !facts.isReader && !m_isResigned && isInCharge();
     facts.hosts = static_cast<uint32_t>(hosts());
     facts.peers = static_cast<uint32_t>(peers());
-    if (auto told = load())
-        facts.load = m_port.withReports(std::move(*told));
+    if (auto told = load()) {
+        auto all = m_port.withReports(std::move(*told));
+        if (m_loadPace.takeTurn(
+                m_clock.now(), question->asker, m_loadAggregator.reportingDaemons(m_clock.now()), all.size()))
+            facts.load = std::move(all);
+    }
     co_return TextAnswer { 200, encodeFacts(facts) };
 }
 
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -8,6 +8,7 @@
 #include "router/FactRelay.h"
 #include "router/HttpCaller.h"
 #include "router/Journal.h"
+#include "router/LoadPace.h"
 #include "router/RouterSettings.h"
 #include "router/TextServer.h"
 
@@ -99,6 +100,7 @@
     size_t m_relayedPeers = 0; // As the source last told.
     HostId m_namedReader; // That the last answer named as the source of the answering daemon.
     LoadAggregator m_loadAggregator;
+    LoadPace m_loadPace;
     Instant m_readingSince {}; // Valid while m_isReading.
     FactQuestion m_last; // Source, news and revision of the last answer.
     Instant m_wholeListAt {}; // When the source last sent the whole list of endpoints.
