Report an endpoint that failed to the other daemons of the data centre

Cause: 139 daemons send little more than one request a second each, and each of them learned by a failed attempt of its own that an engine refuses work, cannot be reached or is silent: 117 daemons paused the same engine one after the other. A route allows two heads, so that a request that meets two such engines ends.

Change: a daemon that begins a pause of its own, or finds an endpoint silent, reports it at once to its source (POST /observations); the reader passes it to its followers with the next answer, which it sends at once. Observations that are malformed, too old or of an unknown endpoint are counted and logged, and change nothing. Sources of the former release are sent none, and questions of the former release are answered without them.

Not tried: a lower preference in place of a pause, two witnesses before a pause.

--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -87,6 +87,8 @@
               },
               [this](const Facts& facts, Instant askedAt) { return adoptFacts(facts, askedAt); },
               [this] { return m_directory.digest(); },
+              [this](const EndpointId& id) { return m_directory.find(id) != nullptr; },
+              [this](const EndpointObservation& it) { pauseFailed(it.endpoint, it.witness); },
               [this](std::vector<EndpointLoad> load) { return withReports(std::move(load)); } })
 {
 }
@@ -118,16 +120,22 @@
 }
 
 // Leaves an endpoint alone that could not be reached or refused its part of a chain, so that not each request has to
-// find out by itself. The last one that can do its work is never left alone.
+// find out by itself, nor each daemon.
 void Control::pauseAfter(const AttemptFailed& failed)
 {
-    if (failed.kind != FailureKind::ConnectFailed)
-        return;
-    auto isOut = [this](const EndpointId& id) { return m_pauses.isPaused(id) || m_directory.isSilent(id); };
-    if (!m_directory.isReplaceable(failed.endpoint, isOut) || !m_pauses.recordFailure(m_clock.now(), failed.endpoint))
-        return;
-    m_journal.write(LineKind::Info, "endpoint-paused", { { "endpoint", failed.endpoint.value() } });
-    apply(EndpointStateReported { failed.endpoint, EndpointStateSource::Health, EndpointAvailability::Down });
+    bool isUnavailable = failed.kind == FailureKind::ConnectFailed;
+    if (isUnavailable && pauseFailed(failed.endpoint, m_settings.host))
+        m_sharing.observe(failed.endpoint);
+}
+
+bool Control::pauseFailed(const EndpointId& id, const HostId& witness)
+{
+    auto isOut = [this](const EndpointId& other) { return m_pauses.isPaused(other) || m_directory.isSilent(other); };
+    if (!m_directory.isReplaceable(id, isOut) || !m_pauses.recordFailure(m_clock.now(), id))
+        return false;
+    m_journal.write(LineKind::Info, "endpoint-paused", { { "endpoint", id.value() }, { "witness", witness.value() } });
+    apply(EndpointStateReported { id, EndpointStateSource::Health, EndpointAvailability::Down });
+    return true;
 }
 
 void Control::reportSilent(const EndpointId& id)
@@ -135,6 +143,7 @@
     net::post(m_io, [this, id] {
         m_directory.markSilent(m_clock.now(), id);
         apply(EndpointStateReported { id, EndpointStateSource::Engine, EndpointAvailability::Down });
+        m_sharing.observe(id);
     });
 }
 
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -60,6 +60,8 @@
     net::awaitable<void> askEngine(EndpointSighting);
     void noteLeaving(const EndpointId&);
     void pauseFor(const EndpointId&, Duration);
+    // Pauses an endpoint after a failure, unless it is the last one that can do its work. False: no pause began.
+    bool pauseFailed(const EndpointId&, const HostId& witness);
     // A head waits for the endpoint at this address.
     void noteSilent(const std::string& address, const EndpointSighting& head);
     // The load of the data centre's engines with what heads reported themselves.
--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -88,6 +88,27 @@
         return { numberOf<uint64_t>(json, "since"), decodeEndpoints(json, "updated"), decodeIds(json, "removed") };
     }
 
+    Json encodeObservationList(const std::vector<EndpointObservation>& observations)
+    {
+        auto list = Json::array();
+        for (const auto& it : observations)
+            list.push_back(Json::array({ it.endpoint.value(), it.witness.value(), it.age.count() }));
+        return list;
+    }
+
+    std::vector<EndpointObservation> decodeObservationList(const Json& json)
+    {
+        constexpr size_t members = 3;
+        std::vector<EndpointObservation> observations;
+        for (const auto& it : internal::listOf(json, "observations")) {
+            if (!it.is_array() || it.size() != members)
+                throw internal::JsonError("expected an observation");
+            observations.push_back({ EndpointId(it[0].get<std::string>()), HostId(it[1].get<std::string>()),
+                milliseconds(internal::toNumber<uint32_t>(it[2])) });
+        }
+        return observations;
+    }
+
     milliseconds ageOf(const Json& json, const char* name)
     {
         return milliseconds(numberOf<uint32_t>(json, name));
@@ -140,6 +161,10 @@
             facts.endpointsDigest = numberOf<uint64_t>(json, "endpoints_digest");
         if (json.contains("returned_since_ms"))
             facts.returnedSince = ageOf(json, "returned_since_ms");
+        if (json.contains("observations")) {
+            facts.observations = decodeObservationList(json);
+            facts.observation = numberOf<uint64_t>(json, "observation");
+        }
         facts.peers = numberOf<uint32_t>(json, "peers");
         if (json.contains("load"))
             facts.load = decodeLoad(json);
@@ -178,6 +203,7 @@
         json["accepts_changes"] = true;
         json["host"] = question.host.value();
         json["is_reader"] = question.isReader;
+        json["observation"] = question.observation;
         json["heartbeats_of"] = encodeIds(question.heartbeatsOf);
     }
     return internal::dumpJson(json).value_or(std::string());
@@ -204,6 +230,7 @@
             question.acceptsChanges = internal::flagOf(json, "accepts_changes");
             question.host = HostId(textOf(json, "host"));
             question.isReader = internal::flagOf(json, "is_reader");
+            question.observation = numberOf<uint64_t>(json, "observation");
             question.heartbeatsOf = decodeIds(json, "heartbeats_of");
         }
         return question;
@@ -223,6 +250,10 @@
         json["endpoints"] = encodeEndpoints(*facts.endpoints);
     if (facts.changes)
         json["changes"] = encodeChanges(*facts.changes);
+    if (facts.observation) {
+        json["observations"] = encodeObservationList(facts.observations);
+        json["observation"] = facts.observation;
+    }
     if (facts.endpointsDigest)
         json["endpoints_digest"] = *facts.endpointsDigest;
     if (facts.returnedSince)
@@ -233,6 +264,16 @@
     return internal::dumpJson(json).value_or(std::string());
 }
 
+std::string encodeObservations(const std::vector<EndpointObservation>& observations)
+{
+    return internal::dumpJson(Json { { "observations", encodeObservationList(observations) } }).value_or(std::string());
+}
+
+std::optional<std::vector<EndpointObservation>> decodeObservations(std::string_view body)
+{
+    return internal::decodeJson(body, decodeObservationList);
+}
+
 std::optional<Facts> decodeFacts(std::string_view text)
 {
     return internal::decodeJson(text, decode);
--- a/src/router/FactRelay.h
+++ b/src/router/FactRelay.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "router/EndpointHistory.h"
+#include "router/EndpointObservations.h"
 
 namespace jacinthspindle::router {
 
@@ -19,6 +20,7 @@
     bool acceptsChanges = false; // It takes changes in place of the whole list. Earlier releases do not.
     HostId host; // Of the asking daemon; empty from earlier releases.
     bool isReader = false; // The asking daemon reads the platform itself, with success.
+    uint64_t observation = 0; // Number of the last observation in the last answer.
     std::vector<EndpointId> heartbeatsOf; // Endpoints that are sent also when only their heartbeats have changed.
     bool operator==(const FactQuestion&) const = default;
 };
@@ -40,6 +42,9 @@
     // In place of endpoints, when the asker accepts changes and its list is known.
     std::optional<EndpointChanges> changes;
     std::optional<uint64_t> endpointsDigest; // See digestOf(); earlier releases send none.
+    // Observations of the data centre's daemons after the one that the asker named, and the number of the last one.
+    std::vector<EndpointObservation> observations;
+    uint64_t observation = 0;
     // Time since the platform came back from an outage, while entries that lapsed are waited for.
     std::optional<std::chrono::milliseconds> returnedSince;
     uint32_t peers = 0; // Daemons of the answering daemon's data centre in the platform's list; 0: unknown.
@@ -55,6 +60,10 @@
 // Nothing when the target is not that of a question or the body is malformed. A body is optional.
 std::optional<FactQuestion> decodeQuestion(std::string_view target, std::string_view body = {});
 std::string encodeFacts(const Facts&);
+// Observations that a daemon reports to its source as soon as it makes them: the target of the request, and its body.
+inline constexpr std::string_view observationsTarget = "/observations";
+std::string encodeObservations(const std::vector<EndpointObservation>&);
+std::optional<std::vector<EndpointObservation>> decodeObservations(std::string_view body);
 std::optional<Facts> decodeFacts(std::string_view text);
 
 } // namespace jacinthspindle::router
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -39,6 +39,8 @@
     constexpr milliseconds lastingTime { 4000 };
     // Between two questions, so that a source that always has news is not asked all the time.
     constexpr milliseconds shortestAskInterval { 50 };
+    // For the report of an observation, which says nothing about the present later.
+    constexpr milliseconds observationTimeout { 300 };
     // Between two requests for the whole list because the own copy differs. It differs for a while without damage when
     // this daemon leaves out endpoints that it saw go.
     constexpr milliseconds wholeListInterval { 3000 };
@@ -206,6 +208,7 @@
         if (m_isReading)
             setReading(false);
         setSource(peer.host.value());
+        m_sourceAddress = peer.address;
     }
 }
 
@@ -235,6 +238,7 @@
     question.acceptsChanges = true;
     question.host = m_self.host;
     question.isReader = isReadingWell();
+    question.observation = m_last.observation;
     Duration timeout = askTimeout;
     if (auto left = m_sourceSelector.searchTimeLeft(m_clock.now()))
         timeout = std::clamp<Duration>(*left, shortestAskTimeout, askTimeout);
@@ -274,10 +278,66 @@
     m_last.news = facts->news;
     m_last.endpointsRevision = facts->endpointsRevision;
     checkEndpoints(*facts);
+    m_takesObservations = facts->endpointsDigest.has_value();
+    m_last.observation = facts->observation;
+    for (const auto& it : facts->observations) {
+        if (it.witness != m_self.host && isAcceptable(it))
+            m_port.adoptObservation(it);
+    }
     noteNews();
     co_return PeerAnswer::Useful;
 }
 
+void FactSharing::observe(const EndpointId& endpoint)
+{
+    auto now = m_clock.now();
+    if (isReadingWell()) {
+        if (m_observations.add(now, { endpoint, m_self.host, {} }))
+            noteNews();
+    } else if (m_takesObservations && !m_source.empty()) {
+        net::co_spawn(m_io, reportObservation(endpoint, now), net::detached);
+    }
+}
+
+// Observations are rare, so that each report has a connection of its own; the kept one waits for news.
+net::awaitable<void> FactSharing::reportObservation(EndpointId endpoint, Instant seenAt)
+{
+    HttpCaller caller(m_io.get_executor(), m_sourceAddress);
+    auto age = std::chrono::ceil<milliseconds>(m_clock.now() - seenAt);
+    std::vector<EndpointObservation> observations;
+    observations.push_back({ std::move(endpoint), m_self.host, age });
+    // The next failure is reported again, and a lost report costs others an attempt of their own.
+    co_await caller.call(
+        http::verb::post, std::string(observationsTarget), encodeObservations(observations), observationTimeout);
+}
+
+TextAnswer FactSharing::answerObservations(const std::string& body)
+{
+    auto observations = decodeObservations(body);
+    m_metrics.add(observations ? daemon::Counter::PeerMessagesReceived : daemon::Counter::PeerMessagesRejected);
+    if (!observations)
+        return { 400, {} };
+    auto before = m_observations.last();
+    for (const auto& it : *observations) {
+        if (isAcceptable(it) && m_observations.add(m_clock.now(), it))
+            m_port.adoptObservation(it);
+    }
+    if (m_observations.last() != before)
+        noteNews();
+    return {};
+}
+
+bool FactSharing::isAcceptable(const EndpointObservation& observation)
+{
+    if (observation.age <= ObservationLog::validity && m_port.isKnown(observation.endpoint))
+        return true;
+    m_metrics.add(daemon::Counter::PeerMessagesRejected);
+    m_journal.write(LineKind::Info, "observation-refused",
+        { { "endpoint", observation.endpoint.value() }, { "witness", observation.witness.value() },
+            { "age_ms", observation.age.count() } });
+    return false;
+}
+
 // Requests the whole list if the copy that the changes were applied to differs from the source's list.
 void FactSharing::checkEndpoints(const Facts& facts)
 {
@@ -317,6 +377,8 @@
 
 net::awaitable<TextAnswer> FactSharing::answer(TextRequest request)
 {
+    if (request.target == observationsTarget)
+        co_return answerObservations(request.body);
     auto question = receive(request);
     if (!question)
         co_return TextAnswer { 404, {} };
@@ -333,8 +395,10 @@
     auto hasNews = [&] { return m_news && (!isOwnAnswer || question->news != m_news); };
     while (isReader() && !hasNews() && m_clock.now() < until)
         co_await m_change.wait();
-    if (!isOwnAnswer)
+    if (!isOwnAnswer) {
         question->endpointsRevision = 0;
+        question->observation = 0;
+    }
     auto facts = m_port.tell(*question);
     facts.source = m_name;
     facts.news = m_news;
@@ -343,6 +407,10 @@
     facts.isWaiting = !facts.isReader && !m_isResigned && isInCharge();
     facts.hosts = static_cast<uint32_t>(hosts());
     facts.peers = static_cast<uint32_t>(peers());
+    if (question->acceptsChanges) {
+        facts.observation = m_observations.last();
+        facts.observations = m_observations.since(m_clock.now(), question->observation);
+    }
     if (auto told = load()) {
         auto all = m_port.withReports(std::move(*told));
         if (m_loadPace.takeTurn(
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -22,6 +22,9 @@
     // Another daemon answered a question that was asked at askedAt. False: the answer is of no use.
     std::function<bool(const Facts&, Instant askedAt)> adopt;
     std::function<uint64_t()> digest; // Of the endpoints that this daemon has; see digestOf().
+    std::function<bool(const EndpointId&)> isKnown; // This daemon's list has the endpoint.
+    // Another daemon of the data centre saw this endpoint fail; it is known.
+    std::function<void(const EndpointObservation&)> adoptObservation;
     // Completes what daemons told of their load by what engines reported themselves.
     std::function<std::vector<EndpointLoad>(std::vector<EndpointLoad>)> withReports;
 };
@@ -52,6 +55,9 @@
     // What this daemon knows has changed or was confirmed.
     void noteNews();
 
+    // This daemon saw an endpoint fail: reports it to the other daemons of the data centre.
+    void observe(const EndpointId&);
+
     // Daemons of the own data centre, this one included; 0: unknown.
     size_t peers() const { return std::max(m_sourceSelector.localHosts(), m_relayedPeers); }
     // Attempts of all daemons of the data centre, as they told this one. Nothing while this daemon does not read the
@@ -69,6 +75,10 @@
     enum class PeerAnswer : uint8_t { Useful, Waiting, Declined, Failed };
     net::awaitable<PeerAnswer> askPeer(const PeerHost&);
     void checkEndpoints(const Facts&);
+    TextAnswer answerObservations(const std::string& body);
+    // Refuses observations that are too old or name no known endpoint.
+    bool isAcceptable(const EndpointObservation&);
+    net::awaitable<void> reportObservation(EndpointId, Instant seenAt);
     bool isReadingWell() const;
     void setReading(bool isReading);
     void setSource(const std::string& source);
@@ -101,6 +111,9 @@
     HostId m_namedReader; // That the last answer named as the source of the answering daemon.
     LoadAggregator m_loadAggregator;
     LoadPace m_loadPace;
+    ObservationLog m_observations; // Of the daemons that follow this one, and its own.
+    bool m_takesObservations = false; // The source is of a release that does.
+    std::string m_sourceAddress; // Of m_source.
     Instant m_readingSince {}; // Valid while m_isReading.
     FactQuestion m_last; // Source, news and revision of the last answer.
     Instant m_wholeListAt {}; // When the source last sent the whole list of endpoints.
--- a/test/router/FactRelayTest.cpp
+++ b/test/router/FactRelayTest.cpp
@@ -43,6 +43,8 @@
     facts.load = { { EndpointId("i-1@1700000000000"), 12 } };
     facts.changes = EndpointChanges { 3, { endpoint }, { EndpointId("i-2@1700000000000") } };
     facts.endpointsDigest = 0xfedcba9876543210;
+    facts.observations = { { EndpointId("i-1@1700000000000"), HostId("host-7"), 120ms } };
+    facts.observation = 8;
     return facts;
 }
 
@@ -54,7 +56,7 @@
     CHECK(decodeFacts(encodeFacts(facts)) == facts);
     CHECK(decodeFacts(encodeFacts(Facts {})) == Facts {});
     FactQuestion question { "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } }, true,
-        HostId("host-2"), true, { EndpointId("i-3@1700000000000") } };
+        HostId("host-2"), true, 5, { EndpointId("i-3@1700000000000") } };
     CHECK(decodeQuestion(encodeQuestion(question), encodeOwnLoad(question)) == question);
     CHECK(decodeQuestion(encodeQuestion({})) == FactQuestion {});
 }
@@ -73,9 +75,9 @@
         CHECK(!decodeQuestion(target, body));
     }
     for (const char* body :
-        { R"({"asker":"a","load":[],"accepts_changes":1,"host":"h","is_reader":true,"heartbeats_of":[]})",
+        { R"({"asker":"a","load":[],"accepts_changes":1,"host":"h","is_reader":true,"observation":0,"heartbeats_of":[]})",
             R"({"asker":"a","load":[],"accepts_changes":true})",
-            R"({"asker":"a","load":[],"accepts_changes":true,"host":"h","is_reader":true,"heartbeats_of":[7]})" }) {
+            R"({"asker":"a","load":[],"accepts_changes":true,"host":"h","is_reader":true,"observation":0,"heartbeats_of":[7]})" }) {
         CAPTURE(body);
         CHECK(!decodeQuestion(target, body));
     }
@@ -88,6 +90,19 @@
         CHECK(!decodeFacts(text.substr(0, n)));
 }
 
+TEST_CASE("observations come out as they went in, and others are refused")
+{
+    std::vector<EndpointObservation> observations { { EndpointId("i-1@17"), HostId("host-7"), 120ms },
+        { EndpointId("i-2@17"), HostId("host-7"), 0ms } };
+    CHECK(decodeObservations(encodeObservations(observations)) == observations);
+    for (const char* body : { "", "{}", "[]", R"({"observations":[["e","h"]]})", R"({"observations":[["e","h",-1]]})",
+             R"({"observations":[["e",7,1]]})", R"({"observations":[["e","h",1e9]]})",
+             R"({"observations":[["e","h",99999999999]]})" }) {
+        CAPTURE(body);
+        CHECK(!decodeObservations(body));
+    }
+}
+
 // Bytes of release 991feb1, which knows neither changes nor digests. Daemons of both releases run side by side during
 // an upgrade.
 TEST_CASE("questions and facts of the release before changes are readable")
@@ -97,7 +112,7 @@
     REQUIRE(question);
     CHECK(*question
         == FactQuestion { "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } }, false,
-            {}, false, {} });
+            {}, false, 0, {} });
     auto facts
         = decodeFacts(R"({"configuration_age_ms":340,"configuration_version":9,"endpoints":[["i-1@1700000000000",)"
                       R"("i-1","assistant","north","10.1.0.9:8080","l4",192,true,10,20,77,1200]],)"
@@ -110,6 +125,8 @@
     expected.changes.reset();
     expected.endpointsDigest.reset();
     expected.isWaiting = false;
+    expected.observations.clear();
+    expected.observation = 0;
     CHECK(*facts == expected);
 }
 
--- a/test/router/FactSharingTest.cpp
+++ b/test/router/FactSharingTest.cpp
@@ -48,17 +48,17 @@
     CHECK(facts.endpoints->size() == 1);
 
     auto later
-        = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, false, {}, {}, false, {}, false, {} });
+        = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, false, {}, {}, false, {}, false, 0, {} });
     CHECK(later.news >= facts.news);
     CHECK(!later.configurationDocument);
     CHECK(!later.endpoints);
 
-    auto restarted
-        = ask(router, { "host-1-before", facts.news, 9, facts.endpointsRevision, false, {}, {}, false, {}, false, {} });
+    auto restarted = ask(
+        router, { "host-1-before", facts.news, 9, facts.endpointsRevision, false, {}, {}, false, {}, false, 0, {} });
     CHECK_MESSAGE(restarted.endpoints, "the revision is that of another start");
 
     auto withHeartbeats
-        = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, true, {}, {}, false, {}, false, {} });
+        = ask(router, { facts.source, facts.news, 9, facts.endpointsRevision, true, {}, {}, false, {}, false, 0, {} });
     CHECK(withHeartbeats.endpoints);
 }
 
@@ -215,3 +215,49 @@
         return facts.load && facts.load->empty();
     }));
 }
+
+// 117 daemons found out one after the other, each by a failed attempt of its own, that one engine refused all work.
+TEST_CASE("an endpoint that one daemon found unavailable is paused by the others of its data centre")
+{
+    ScriptedServer server([](const std::string& request) { return ownAnswer(request, "200 OK", "ok"); });
+    RouterFixture reader("host-1", 700);
+    setVersion(reader, 9);
+    RouterFixture follower("host-2", 100);
+    for (auto* it : { &reader, &follower })
+        it->platform().hosts = { reader.peer(), follower.peer() };
+    reader.start({ endpointAt("c1", "catalogue", closedAddress()), endpointAt("c2", "catalogue", server.address()) });
+    follower.start({});
+    router::FactQuestion question;
+    question.asker = "host-3";
+    question.acceptsChanges = true;
+    std::vector<router::EndpointObservation> seen;
+    int n = 0;
+    bool isReported = RouterFixture::eventually([&] {
+        CHECK(statusOf(follower.send(requestText("GET", "/cards/1", "r" + std::to_string(++n)))) == 200);
+        seen = post(reader, question).observations;
+        return !seen.empty();
+    });
+    REQUIRE(isReported);
+    CHECK(seen.front().endpoint == EndpointId("c1@1"));
+    CHECK(seen.front().witness == HostId("host-2"));
+}
+
+TEST_CASE("observations that are malformed or of an unknown endpoint change nothing")
+{
+    RouterFixture router("host-1", 700);
+    setVersion(router, 9);
+    router.start({ endpointAt("c1", "catalogue", closedAddress()), endpointAt("c2", "catalogue", closedAddress()) });
+    auto report = [&](const std::string& body) {
+        return statusOf(talk(router.routerSettings().peerAddress,
+            "POST /observations HTTP/1.1\r\nHost: peer\r\nConnection: close\r\nContent-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n" + body));
+    };
+    CHECK(report("{") == 400);
+    CHECK(report(R"({"observations":[["c1@1","host-2"]]})") == 400);
+    CHECK(report(R"({"observations":[["unknown","host-2",0],["c1@1","host-2",60000]]})") == 200);
+    CHECK(router.metrics().value(daemon::Counter::PeerMessagesRejected) == 4);
+    router::FactQuestion question;
+    question.asker = "host-3";
+    question.acceptsChanges = true;
+    CHECK(post(router, question).observations.empty());
+}
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -318,6 +318,7 @@
 
     std::string send(const std::string& bytes) { return talk(m_settings.frontAddress, bytes); }
     PlatformState& platform() { return m_state; }
+    const daemon::Metrics& metrics() const { return m_metrics; }
     router::Traffic& traffic() { return m_traffic; }
     const router::RouterSettings& routerSettings() const { return m_settings; }
     PeerHost peer() const
