Let no daemon wait for its reader longer than a search for a source takes

The store turned away the first hosts of a data centre just before keys were taken away; daemons waited with their reader without a bound, and the first host that was served had a link of 14 Mbit/s for the configuration of 45 followers, so that some followed the change 0.1 s to 1 s late.

Change: waiting is part of the search for a source, and ends with it: a daemon that has waited for the search time reads the platform itself, at most each 4 s. The much longer delays of the hosts behind the eighth are gone, since the bound of a change allows none.

Ruled out: a longer wait for hosts with slow links only; the platform may serve just those.

--- a/include/spindlecore/FactSourceSelector.h
+++ b/include/spindlecore/FactSourceSelector.h
@@ -55,11 +55,9 @@
     // Pause between two attempts to read the platform while it fails for this daemon and other daemons are the source.
     static constexpr Duration platformRetryPause = std::chrono::milliseconds(1000);
 
-    // While the reader waits for the platform, a daemon tests the platform after this delay per host before it. Hosts
-    // after the first frequentTesters wait much longer: if none of those is served, the platform is down.
+    // While the reader waits for the platform, a daemon tests the platform after this delay per host before it, and
+    // after the search time at the latest.
     static constexpr Duration testDelay = std::chrono::milliseconds(150);
-    static constexpr size_t frequentTesters = 8;
-    static constexpr Duration lateTestDelay = std::chrono::milliseconds(1000);
     // Time between two tests of one daemon.
     static constexpr Duration testInterval = std::chrono::milliseconds(4000);
 
--- a/src/core/membership/FactSourceSelector.cpp
+++ b/src/core/membership/FactSourceSelector.cpp
@@ -128,9 +128,7 @@
 
 Duration FactSourceSelector::delayOfTest() const
 {
-    auto rank = rankInDataCentre().value_or(m_hosts.size());
-    auto late = rank - std::min(rank, frequentTesters);
-    return testDelay * std::min(rank, frequentTesters) + lateTestDelay * late;
+    return testDelay * rankInDataCentre().value_or(m_hosts.size());
 }
 
 void FactSourceSelector::pause(Instant now, const HostId& source)
@@ -198,10 +196,13 @@
 {
     m_keptSource = source;
     m_knownReader = {};
-    m_searchingSince.reset();
     if (!m_waitingSince)
         m_waitingSince = now;
-    if (now < *m_waitingSince + delayOfTest() || now < m_testAgainAt)
+    if (!m_searchingSince)
+        m_searchingSince = now;
+    // The platform may serve this daemon alone, so that it cannot wait for others longer than a search takes.
+    bool isDue = now >= *m_waitingSince + delayOfTest() || now >= *m_searchingSince + m_searchTime;
+    if (!isDue || now < m_testAgainAt)
         return;
     readDirectly(now);
     m_testAgainAt = now + testInterval;
