Join a repeated condition of the source selection, and the host lists of its tests

Cause: recordDecline asked twice whether the declining host is the kept source, and six tests built their numbered hosts by copies of one loop. Found by reading the whole change once more.

The sanitizers were not run on this commit.

--- a/src/core/membership/FactSourceSelector.cpp
+++ b/src/core/membership/FactSourceSelector.cpp
@@ -178,8 +178,10 @@
     bool mayBecomeReader = m_failedAt && now - *m_failedAt < detectionSpread;
     m_pauses[source].until = now + (mayBecomeReader ? shortDeclinePause : minPause);
     // Daemons that follow a source learn at about the same time that it is no longer a reader.
-    if (m_keptSource == source)
+    if (m_keptSource == source) {
         m_failedAt = now;
+        m_keptSource = {};
+    }
     // A host that uses this daemon as its source knows of no reader.
     bool namesNone = reader == source || reader == m_self;
     if (!namesNone)
@@ -187,8 +189,6 @@
     else if (m_knownReader == source)
         m_knownReader = {};
     m_waitingSince.reset();
-    if (m_keptSource == source)
-        m_keptSource = {};
     updateSearch(now);
 }
 
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -103,7 +103,7 @@
     std::array<bool, 2> m_hasRead {}; // By kind: the platform has answered since m_isReading was set.
     bool m_isResigned = false;
     std::string m_source; // Host that last sent facts; empty while this daemon reads the platform itself.
-    std::string m_loggedSource;
+    std::string m_loggedSource; // m_source, or "platform", as last logged; empty: nothing was logged yet.
     std::string m_asked; // Host that is asked, which may still have to become the source.
     std::optional<HttpCaller> m_caller; // To m_asked.
     size_t m_relayedHosts = 0; // As the source last told.
--- a/test/core/FactSourceSelectorTest.cpp
+++ b/test/core/FactSourceSelectorTest.cpp
@@ -19,6 +19,16 @@
         { HostId("n3"), north, "10.1.0.3:7340", 100 }, { HostId("s1"), south, "10.2.0.1:7340", 700 } };
 }
 
+// Hosts of one data centre from "n<first>" up to, and without, "n<end>".
+std::vector<PeerHost> numberedHosts(size_t first, size_t end)
+{
+    std::vector<PeerHost> numbered;
+    numbered.reserve(end - first);
+    for (auto i = first; i < end; ++i)
+        numbered.push_back({ HostId("n" + std::to_string(i)), north, "10.1.0.1:7340", 100 });
+    return numbered;
+}
+
 std::string nameOf(const PeerHost* source)
 {
     return source ? source->host.value() : "itself";
@@ -93,9 +103,7 @@
 // the other, at 0.35 s each.
 TEST_CASE("a daemon reads the platform itself after a bounded time when all hosts that it tries decline")
 {
-    std::vector<PeerHost> manyHosts;
-    for (int i = 10; i < 40; ++i)
-        manyHosts.push_back({ HostId("n" + std::to_string(i)), north, "10.1.0.1:7340", 100 });
+    auto manyHosts = numberedHosts(10, 40);
     FactSourceSelector selector(HostId("n39"), north);
     selector.setHosts(manyHosts);
     auto now = start;
@@ -157,9 +165,7 @@
 // Guards against overload of the store during its outage: 119 daemons sent eight calls per second each.
 TEST_CASE("the first hosts of a data centre retry a failing platform soon and the others rarely")
 {
-    std::vector<PeerHost> manyHosts;
-    for (int i = 10; i < 70; ++i)
-        manyHosts.push_back({ HostId("n" + std::to_string(i)), north, "10.1.0.1:7340", 100 });
+    auto manyHosts = numberedHosts(10, 70);
     double totalRetriesPerSecond = 0;
     for (const auto& it : manyHosts) {
         FactSourceSelector selector(it.host, north);
@@ -177,9 +183,7 @@
 
 TEST_CASE("the source that a declining host names is used next")
 {
-    std::vector<PeerHost> manyHosts;
-    for (int i = 10; i < 40; ++i)
-        manyHosts.push_back({ HostId("n" + std::to_string(i)), north, "10.1.0.1:7340", 100 });
+    auto manyHosts = numberedHosts(10, 40);
     FactSourceSelector selector(HostId("n39"), north);
     selector.setHosts(manyHosts);
     selector.recordDecline(start, HostId("n10"), HostId("n25"));
@@ -224,10 +228,7 @@
 
     explicit FrozenReaderSimulation(Duration searchTime)
     {
-        std::vector<PeerHost> all;
-        all.reserve(daemons);
-        for (int i = 0; i < daemons; ++i)
-            all.push_back({ HostId("n" + std::to_string(100 + i)), north, "10.1.0.1:7340", 100 });
+        auto all = numberedHosts(100, 100 + daemons);
         for (int i = 0; i < daemons; ++i) {
             list.push_back({ FactSourceSelector(all[static_cast<size_t>(i)].host, north, searchTime), {}, {} });
             list.back().selector.setHosts(all);
@@ -320,9 +321,7 @@
     explicit OutageSimulation(Serves platformServes)
         : m_platformServes(std::move(platformServes))
     {
-        std::vector<PeerHost> all;
-        for (size_t i = 0; i < daemons; ++i)
-            all.push_back({ HostId("n" + std::to_string(100 + i)), north, "10.1.0.1:7340", 100 });
+        auto all = numberedHosts(100, 100 + daemons);
         for (size_t i = 0; i < daemons; ++i) {
             m_list.push_back({ FactSourceSelector(all[i].host, north, searchTime), {}, {}, {}, {}, {} });
             m_list.back().selector.setHosts(all);
@@ -486,9 +485,7 @@
 TEST_CASE("a daemon waits no longer for its reader, and for the one that it names, than a search takes")
 {
     constexpr Duration searchTime = 1300ms;
-    std::vector<PeerHost> manyHosts;
-    for (int i = 100; i < 145; ++i)
-        manyHosts.push_back({ HostId("n" + std::to_string(i)), north, "10.1.0.1:7340", 100 });
+    auto manyHosts = numberedHosts(100, 145);
     FactSourceSelector selector(HostId("n144"), north, searchTime);
     selector.setHosts(manyHosts);
     selector.recordResponse(HostId("n100"));
