Log who ended an answer, why nothing followed, and how long the process was held up

The users' record of streams cut around a change of the configuration does not tell its hypotheses apart: the lines of a request do not say who ended it, why no further attempt was made, how old the engine's last byte was, whether the process itself had been held up, or which version was in force at the begin and at the end.

request-ended and attempt-failed now say so. held-up and table-adoption-slow are lines for a thread that ran late; jacinthspindle_answers_cut_total counts begun answers that the daemon ended before their endpoint did, and jacinthspindle_loop_delay_seconds shows how late the traffic thread ran. No decision changes.

--- a/src/daemon/Metrics.cpp
+++ b/src/daemon/Metrics.cpp
@@ -43,6 +43,7 @@
         { "trace_batches_total", "Trace batches stored" },
         { "trace_batches_failed_total", "Trace batches that the object store did not take" },
         { "platform_failures_total", "Failed requests to the platform" },
+        { "answers_cut_total", "Begun answers that the daemon ended before their endpoint did" },
     } };
 
     constexpr std::array<NameText, distributionCount> distributionTexts { {
@@ -52,6 +53,7 @@
         { "token_gap_seconds", "Time between two tokens of a stream" },
         { "token_overhead_seconds", "Time from the engine's token to the end of the write to the caller" },
         { "request_seconds", "Time from arrival to the end of the answer" },
+        { "loop_delay_seconds", "Time by which the traffic thread ran late" },
     } };
 
     constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
--- a/src/daemon/Metrics.h
+++ b/src/daemon/Metrics.h
@@ -40,8 +40,9 @@
     TraceBatches,
     TraceBatchesFailed,
     PlatformFailures,
+    AnswersCut, // Begun answers that this daemon ended while their endpoint had neither ended nor broken them off.
 };
-constexpr size_t counterCount = static_cast<size_t>(Counter::PlatformFailures) + 1;
+constexpr size_t counterCount = static_cast<size_t>(Counter::AnswersCut) + 1;
 
 enum class Distribution : uint8_t {
     DecisionTime, // Of one input in the decision core.
@@ -50,8 +51,9 @@
     TokenGap, // Between two tokens of a stream.
     TokenOverhead, // From the engine's token to the end of the write to the caller.
     RequestTime, // From arrival to the end.
+    LoopDelay, // By which a periodic timer of the traffic thread fired late.
 };
-constexpr size_t distributionCount = static_cast<size_t>(Distribution::RequestTime) + 1;
+constexpr size_t distributionCount = static_cast<size_t>(Distribution::LoopDelay) + 1;
 
 // Thread-safe.
 class Metrics {
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -32,6 +32,9 @@
     // s without an event, and a refusal before that lets them come back.
     constexpr uint32_t queueSharePercent = 4;
 
+    // A longer adoption delays decisions by more than a tick.
+    constexpr milliseconds loggedAdoption = tickInterval;
+
     // Daemons that have started since the list of hosts was read share the allowed repetitions as well.
     constexpr double retryMargin = 0.85;
 
@@ -287,6 +290,7 @@
     // Versions never go back within the life of a process.
     if (!configuration || (m_configuration && configuration->version <= m_configuration->version))
         return;
+    auto began = m_clock.now();
     m_configuration = configuration;
     m_document = document;
     m_routes = std::make_shared<const RouteIndex>(*m_configuration);
@@ -297,6 +301,17 @@
         { { "version", m_configuration->version }, { "routes", m_configuration->routes.size() },
             { "services", m_configuration->services.size() }, { "keys", m_configuration->workspaceByKey.size() } });
     publish();
+    noteAdoption(began);
+}
+
+void Control::noteAdoption(Instant began)
+{
+    auto took = m_clock.now() - began;
+    if (took < loggedAdoption)
+        return;
+    m_journal.write(LineKind::Warning, "table-adoption-slow",
+        { { "took_ms", millisecondsOf(took) }, { "configuration_version", m_configuration ? m_configuration->version : 0 },
+            { "table_revision", m_revision } });
 }
 
 void Control::publish()
@@ -348,7 +363,9 @@
     if (hasChanged) {
         m_journal.write(LineKind::Info, "endpoints-changed",
             { { "endpoints", m_directory.size() }, { "table_revision", m_revision + 1 } });
+        auto began = m_clock.now();
         publish();
+        noteAdoption(began);
     }
     for (const auto& it : m_directory.takeRecovered()) {
         m_journal.write(LineKind::Info, "endpoint-recovered", { { "endpoint", it.value() } });
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -50,6 +50,8 @@
     Facts tell(const FactQuestion&) const;
     bool adoptFacts(const Facts&, Instant askedAt);
     void publish();
+    // Logs an adoption of a configuration or a list of endpoints that held up the control thread.
+    void noteAdoption(Instant began);
     void shareRetries();
     void countPeers();
     // Attempts of all daemons of the data centre at its engines, as they were at measuredAt.
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -95,9 +95,27 @@
     m_context.journal.write(LineKind::Decision, event, fields);
 }
 
-void Exchange::finish(ResultCode code, unsigned status)
+const char* Exchange::nameOf(EndedBy by)
+{
+    switch (by) {
+    case EndedBy::Endpoint:
+        return "endpoint";
+    case EndedBy::Router:
+        return "router";
+    case EndedBy::Deadline:
+        return "deadline";
+    case EndedBy::Caller:
+        break;
+    }
+    return "caller";
+}
+
+void Exchange::finish(ResultCode code, unsigned status, EndedBy by)
 {
-    auto took = m_context.clock.now() - m_request.arrivedAt;
+    auto now = m_context.clock.now();
+    auto took = now - m_request.arrivedAt;
+    if (by == EndedBy::Router && m_hasBegun)
+        m_context.metrics.add(daemon::Counter::AnswersCut);
     m_context.metrics.addResult(code);
     m_context.metrics.add(daemon::Counter::RequestsFinished);
     m_context.metrics.observe(daemon::Distribution::RequestTime, took);
@@ -105,7 +123,11 @@
         { { "code", static_cast<int>(code) }, { "result", resultName(code) }, { "status", status },
             { "took_ms", millisecondsOf(took) }, { "sends", m_sends }, { "events", m_events.delivered() },
             { "first_event_ms", m_firstEventAt ? millisecondsOf(*m_firstEventAt - m_request.arrivedAt) : -1 },
-            { "longest_gap_ms", millisecondsOf(m_longestGap) } });
+            { "longest_gap_ms", millisecondsOf(m_longestGap) }, { "ended_by", nameOf(by) }, { "no_repeat", m_noRepeat },
+            { "last_byte_ms", m_byteAt ? millisecondsOf(now - *m_byteAt) : -1 },
+            { "held_up_ms", millisecondsOf(m_context.recentDelay()) },
+            { "configuration_began", m_request.configurationVersion },
+            { "configuration_ended", m_context.currentView()->configuration->version } });
 }
 
 net::awaitable<std::optional<CoreDecision>> Exchange::nextDecision()
@@ -135,8 +157,10 @@
         }
         if (const auto* refused = std::get_if<Refuse>(&*decision))
             co_return co_await refuse(*refused);
-        if (const auto* abandoned = std::get_if<Abandon>(&*decision))
+        if (const auto* abandoned = std::get_if<Abandon>(&*decision)) {
+            m_noRepeat = resultName(abandoned->code);
             co_return co_await giveUp(abandoned->code);
+        }
         const auto& dispatched = std::get<Dispatch>(*decision);
         auto result = co_await attempt(dispatched);
         bool isOver = false;
@@ -155,7 +179,7 @@
         m_context.postInput(RequestFinished { m_request.id, attempt, tokens });
         if (m_hasBegun) {
             bool isWhole = co_await m_sink.endParts();
-            finish(ResultCode::Ok, 200);
+            finish(ResultCode::Ok, 200, EndedBy::Endpoint);
             co_return isWhole ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
         }
         co_return co_await sendAnswer();
@@ -163,10 +187,16 @@
     if (m_isCallerGone)
         co_return endWithoutCaller();
     m_context.metrics.add(daemon::Counter::AttemptsFailed);
-    bool repeats = mayRepeat(result);
+    const char* noRepeat = whyNoRepeat(result);
+    bool repeats = !noRepeat;
+    m_noRepeat = noRepeat ? noRepeat : "";
+    m_wasSilent = result.kind == FailureKind::Stalled;
     note("attempt-failed",
         { { "attempt", attempt }, { "endpoint", result.atFault.value() }, { "detail", result.detail },
-            { "may_repeat", repeats }, { "events", m_events.delivered() }, { "left_ms", millisecondsOf(timeLeft()) } });
+            { "may_repeat", repeats }, { "no_repeat", m_noRepeat }, { "events", m_events.delivered() },
+            { "left_ms", millisecondsOf(timeLeft()) },
+            { "last_byte_ms", m_byteAt ? millisecondsOf(m_context.clock.now() - *m_byteAt) : -1 },
+            { "held_up_ms", millisecondsOf(m_context.recentDelay()) } });
     auto position = static_cast<uint32_t>(m_events.delivered()) * tokensPerEvent;
     m_context.postInput(AttemptFailed { m_request.id, attempt, result.atFault, result.kind, position, repeats });
     if (repeats) {
@@ -183,19 +213,23 @@
         || m_request.route.repeatability == Repeatability::ResumableStream;
 }
 
-bool Exchange::mayRepeat(const AttemptResult& result) const
+const char* Exchange::whyNoRepeat(const AttemptResult& result) const
 {
-    if (m_isPassingThrough || timeLeft() <= Duration::zero() || result.end == AttemptEnd::TimedOut
-        || result.end == AttemptEnd::OutOfAttempts)
-        return false;
+    if (m_isPassingThrough)
+        return "part of the answer is sent";
+    if (timeLeft() <= Duration::zero() || result.end == AttemptEnd::TimedOut)
+        return "deadline";
+    if (result.end == AttemptEnd::OutOfAttempts)
+        return "attempts of the route";
     if (result.end == AttemptEnd::NotSent)
-        return true;
+        return nullptr;
     if (m_sends >= maxSends)
-        return false;
+        return "attempts of a request";
     if (result.end == AttemptEnd::NotExecuted && m_request.isModel)
-        return true; // Another chain may have the same head, which is no further endpoint; see maySendTo().
-    bool hasAttempts = m_sentTo.size() < m_request.route.maxAttempts;
-    return hasAttempts && (result.end == AttemptEnd::NotExecuted || mayRunAgain());
+        return nullptr; // Another chain may have the same head, which is no further endpoint; see maySendTo().
+    if (m_sentTo.size() >= m_request.route.maxAttempts)
+        return "attempts of the route";
+    return result.end == AttemptEnd::NotExecuted || mayRunAgain() ? nullptr : "may have run";
 }
 
 bool Exchange::maySendTo(const EndpointId& head) const
@@ -217,7 +251,7 @@
 {
     if (m_hasBegun) {
         // Without its end the answer cannot be taken for a whole one.
-        finish(code, 200);
+        finish(code, 200, whoGaveUp(code));
         co_return ExchangeEnd::CallerLost;
     }
     if (m_answer)
@@ -232,11 +266,19 @@
     co_return co_await sendError(code, 503, std::min<Duration>(pause, timeLeft() / retryAfterShare));
 }
 
+Exchange::EndedBy Exchange::whoGaveUp(ResultCode code) const
+{
+    if (code == ResultCode::DeadlineExceeded || timeLeft() <= Duration::zero())
+        return EndedBy::Deadline;
+    // Before an attempt the refusal is this daemon's; an attempt that broke off was ended by its endpoint.
+    return m_wasSilent || !m_sends ? EndedBy::Router : EndedBy::Endpoint;
+}
+
 ExchangeEnd Exchange::endWithoutCaller()
 {
     m_context.postInput(CallerGone { m_request.id });
     m_context.metrics.add(daemon::Counter::CallersGone);
-    finish(ResultCode::CallerGone, 0);
+    finish(ResultCode::CallerGone, 0, EndedBy::Caller);
     return ExchangeEnd::CallerLost;
 }
 
@@ -245,14 +287,14 @@
 {
     auto status = m_answer->result_int();
     bool isSent = co_await m_sink.sendWhole(std::move(*m_answer));
-    finish(isSuccess(status) ? ResultCode::Ok : ResultCode::EndpointFailed, status);
+    finish(isSuccess(status) ? ResultCode::Ok : ResultCode::EndpointFailed, status, EndedBy::Endpoint);
     co_return isSent ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
 }
 
 net::awaitable<ExchangeEnd> Exchange::sendError(ResultCode code, unsigned status, std::optional<Duration> retryAfter)
 {
     auto answer = errorAnswer(m_context.settings.headers, code, status, m_request.wireId, retryAfter);
-    finish(code, status);
+    finish(code, status, whoGaveUp(code));
     bool isSent = co_await m_sink.sendWhole(std::move(answer));
     co_return isSent ? ExchangeEnd::Answered : ExchangeEnd::CallerLost;
 }
@@ -385,6 +427,7 @@
     co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(ec));
     if (ec && ec != http::error::need_buffer)
         co_return std::nullopt;
+    m_byteAt = m_context.clock.now();
     co_return std::string_view(m_chunk.data(), m_chunk.size() - parser.get().body().size);
 }
 
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -37,6 +37,7 @@
     std::function<void(CoreInput)> postInput; // To the decision core.
     std::function<void(EndpointNotice)> postNotice; // To the control thread.
     std::function<std::shared_ptr<const RoutingView>()> currentView;
+    std::function<Duration()> recentDelay; // Longest delay of the event loop just before; see LoopWatch.
 };
 
 // A request that has passed the checks of its route and key.
@@ -53,6 +54,7 @@
     uint32_t promptTokens = 0;
     uint32_t maxTokens = 0;
     std::optional<uint64_t> lastEvent; // The caller continues a stream.
+    uint64_t configurationVersion = 0; // That the request was routed by.
 };
 
 // How an exchange ended, for the connection of the caller.
@@ -120,7 +122,8 @@
     net::awaitable<bool> sendEvents(const http::response_header<>&, const std::string& events, uint32_t attempt);
 
     void noteEvent(Instant now);
-    bool mayRepeat(const AttemptResult&) const;
+    // Returns why no further attempt follows this one, or null if one may.
+    const char* whyNoRepeat(const AttemptResult&) const;
     bool mayRunAgain() const;
     bool maySendTo(const EndpointId&) const;
     Duration timeLeft() const { return m_request.deadline - m_context.clock.now(); }
@@ -129,7 +132,11 @@
     net::awaitable<ExchangeEnd> sendAnswer();
     net::awaitable<ExchangeEnd> sendError(ResultCode, unsigned status, std::optional<Duration> retryAfter);
     void note(const char* event, std::vector<LineField> fields);
-    void finish(ResultCode, unsigned status);
+    // Who ended the exchange, for its last line in the log.
+    enum class EndedBy : uint8_t { Endpoint, Router, Deadline, Caller };
+    static const char* nameOf(EndedBy);
+    void finish(ResultCode, unsigned status, EndedBy);
+    EndedBy whoGaveUp(ResultCode) const;
 
     const ExchangeContext& m_context;
     CallerSink& m_sink;
@@ -148,6 +155,9 @@
 
     uint32_t m_sends = 0; // Attempts that were sent.
     std::set<EndpointId> m_sentTo; // Endpoints to which the request was sent and that are not lost.
+    const char* m_noRepeat = ""; // Why no further attempt was made, for the log.
+    bool m_wasSilent = false; // The last attempt was ended by this daemon because an endpoint was silent.
+    std::optional<Instant> m_byteAt; // When the last byte of an endpoint arrived.
     bool m_mayHaveRun = false; // Some endpoint may have run the request.
     bool m_hasBegun = false; // The caller has received a part of the answer.
     bool m_isPassingThrough = false; // That part is of an answer which is no stream, so that no other can continue it.
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -23,6 +23,8 @@
     // A daemon that cannot check keys for much longer is better left out by the balancer.
     constexpr milliseconds readyConfigurationAge { 3500 };
     constexpr milliseconds acceptPause { 50 };
+    // Part of the silence after which an endpoint is asked.
+    constexpr milliseconds loggedDelay = silenceBeforeInquiry / 2;
 
 } // namespace
 
@@ -36,8 +38,10 @@
     , m_age(age)
     , m_pool(io.get_executor(), clock)
     , m_context { io.get_executor(), clock, journal, metrics, m_pool, settings, m_control.postInput,
-        m_control.postNotice, [this] { return m_view; } }
+        m_control.postNotice, [this] { return m_view; },
+        [this] { return m_loopWatch.longestDelay(m_context.clock.now()); } }
     , m_acceptor(io)
+    , m_loopWatch(sweepInterval)
 {
 }
 
@@ -155,6 +159,16 @@
             { "endpoints", m_view ? m_view->endpoints.size() : 0 }, { "draining", isDraining() } });
 }
 
+void Traffic::noteDelay(Duration delay)
+{
+    m_context.metrics.observe(daemon::Distribution::LoopDelay, delay);
+    if (delay < loggedDelay)
+        return;
+    m_journal.write(LineKind::Warning, "held-up",
+        { { "late_ms", millisecondsOf(delay) }, { "requests", m_exchanges.size() },
+            { "configuration_version", m_view ? m_view->configuration->version : 0 } });
+}
+
 net::awaitable<void> Traffic::sweep()
 {
     net::steady_timer timer(m_io);
@@ -164,6 +178,7 @@
         co_await timer.async_wait(awaitInto(ec));
         if (ec)
             co_return;
+        noteDelay(m_loopWatch.tick(m_context.clock.now()));
         noteReadiness();
         m_pool.sweep();
         if (!m_exchanges.empty())
@@ -217,7 +232,8 @@
 void Traffic::moveAll(const EndpointId& silent, const std::string& headAddress, const std::vector<std::string>& wireIds)
 {
     m_journal.write(LineKind::Warning, "endpoint-silent",
-        { { "endpoint", silent.value() }, { "head", headAddress }, { "requests", wireIds.size() } });
+        { { "endpoint", silent.value() }, { "head", headAddress }, { "requests", wireIds.size() },
+            { "held_up_ms", millisecondsOf(m_loopWatch.longestDelay(m_context.clock.now())) } });
     m_control.reportSilent(silent);
     for (const auto& [id, exchange] : m_exchanges) {
         bool isNamed = std::find(wireIds.begin(), wireIds.end(), exchange->wireId()) != wireIds.end();
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "router/ClientSession.h"
+#include "router/LoopWatch.h"
 #include "router/RoutingView.h"
 
 #include <atomic>
@@ -72,6 +73,7 @@
     void inquireSilent(Instant now);
     void moveAll(const EndpointId& silent, const std::string& headAddress, const std::vector<std::string>& wireIds);
     void noteReadiness();
+    void noteDelay(Duration);
 
     net::io_context& m_io;
     Journal& m_journal;
@@ -86,6 +88,7 @@
     std::unordered_map<RequestId, std::shared_ptr<Exchange>> m_exchanges;
     std::set<std::shared_ptr<ClientSession>> m_sessions;
     std::unordered_map<std::string, Instant> m_inquiries; // By address of the head: when it was last asked.
+    LoopWatch m_loopWatch;
     std::optional<Instant> m_drainedAt;
     std::optional<bool> m_wasReady; // As last logged.
 };
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -7,10 +7,12 @@
 #include "support/ScriptedServer.h"
 
 #include <condition_variable>
+#include <cstdio>
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <future>
 #include <mutex>
+#include <sstream>
 #include <thread>
 
 namespace jacinthspindle::test {
@@ -253,7 +255,8 @@
 public:
     // linkMbps: of its host, for other daemons; 0: it neither asks nor answers others.
     explicit RouterFixture(const char* host = "host-1", uint32_t linkMbps = 0)
-        : m_journal(m_clock, host, ::open("/dev/null", O_WRONLY | O_CLOEXEC))
+        : m_log(std::tmpfile())
+        , m_journal(m_clock, host, fileno(m_log))
         , m_configurations(m_state, m_clock, m_controlIo)
         , m_endpoints(m_state)
         , m_hosts(m_state)
@@ -271,7 +274,11 @@
         m_state.configuration = std::make_shared<const RoutingConfiguration>(sampleConfiguration());
     }
 
-    ~RouterFixture() { stop(); }
+    ~RouterFixture()
+    {
+        stop();
+        std::fclose(m_log);
+    }
 
     void stop()
     {
@@ -316,6 +323,29 @@
         return false;
     }
 
+    // Log lines with this text.
+    std::vector<std::string> logged(const std::string& text) const
+    {
+        std::string all;
+        char buf[4096];
+        ssize_t n = 0;
+        while ((n = pread(fileno(m_log), buf, sizeof buf, static_cast<off_t>(all.size()))) > 0)
+            all.append(buf, static_cast<size_t>(n));
+        std::vector<std::string> lines;
+        std::istringstream stream(all);
+        for (std::string line; std::getline(stream, line);) {
+            if (line.find(text) != std::string::npos)
+                lines.push_back(line);
+        }
+        return lines;
+    }
+
+    // Holds the traffic thread up, as a machine does that gives the process no processor time.
+    void holdUpTraffic(std::chrono::milliseconds duration)
+    {
+        router::net::post(m_trafficIo, [duration] { std::this_thread::sleep_for(duration); });
+    }
+
     std::string send(const std::string& bytes) { return talk(m_settings.frontAddress, bytes); }
     PlatformState& platform() { return m_state; }
     const daemon::Metrics& metrics() const { return m_metrics; }
@@ -353,6 +383,7 @@
     }
 
     router::BootClock m_clock;
+    std::FILE* m_log; // Read by tests; deleted when it is closed.
     router::Journal m_journal;
     daemon::Metrics m_metrics;
     PlatformState m_state;
