--- a/test/router/SilentEngineTest.cpp
+++ b/test/router/SilentEngineTest.cpp
@@ -36,8 +36,71 @@
     return router.send(requestText("POST", "/ask/1", "r" + std::to_string(n), "question"));
 }
 
+// Sends so many requests at once and returns how many answers are not whole.
+int countCut(RouterFixture& router, int requests)
+{
+    std::vector<std::future<std::string>> answers;
+    for (int i = 0; i < requests; ++i)
+        answers.push_back(std::async(std::launch::async, [&router, i] { return ask(router, i); }));
+    int cut = 0;
+    for (auto& it : answers)
+        cut += !isWhole(it.get());
+    return cut;
+}
+
 } // namespace
 
+// LOST in incident 2026-12-04: the only engine that may run the stream is silent for longer than its head is waited
+// for.
+TEST_CASE("a stream is not cut because its only engine was silent for a while")
+{
+    PausingEngine engine({ 1, 1600ms });
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", engine.address()) });
+    auto answer = ask(router, 1);
+    CHECK(eventsOf(answer) == eventsUpTo(5));
+    CHECK(answer.ends_with("0\r\n\r\n"));
+    CHECK(router.metrics().value(daemon::Counter::AnswersCut) == 0);
+}
+
+// LOST in incident 2026-12-04: more streams of one host are silent at once than it may repeat.
+TEST_CASE("no stream is cut when all engines are silent at once and the retry budget does not cover the streams")
+{
+    PausingEngine first({ 1, 1600ms });
+    PausingEngine second({ 1, 1600ms });
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", first.address()), endpointAt("e2", "assistant", second.address()) });
+    CHECK(countCut(router, 8) == 0);
+    CHECK(router.metrics().value(daemon::Counter::AnswersCut) == 0);
+}
+
+// LOST in incident 2026-12-04: the engine was left before it was known that the next one takes the stream.
+TEST_CASE("a stream goes on at its silent engine when the next engine refuses to continue it")
+{
+    PausingEngine first({ 1, 1600ms, 5, "503 Service Unavailable" });
+    PausingEngine second({ 1, 1600ms, 5, "503 Service Unavailable" });
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", first.address()), endpointAt("e2", "assistant", second.address()) });
+    auto answer = ask(router, 1);
+    CHECK(eventsOf(answer) == eventsUpTo(5));
+    CHECK(answer.ends_with("0\r\n\r\n"));
+}
+
+// LOST in incident 2026-12-04: a process that was held up took the time for silence of its engines.
+TEST_CASE("no stream is moved or cut after the process itself was held up")
+{
+    PausingEngine engine({ 1, 1600ms });
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", engine.address()), endpointAt("e2", "assistant", engine.address()) });
+    auto answer = std::async(std::launch::async, [&] { return ask(router, 1); });
+    REQUIRE(RouterFixture::eventually([&] { return router.metrics().value(daemon::Counter::AttemptsStarted) > 0; }));
+    std::this_thread::sleep_for(100ms);
+    router.holdUpTraffic(1500ms);
+    CHECK(isWhole(answer.get()));
+    CHECK(engine.continued() == 0);
+    CHECK(router.logged("\"endpoint-silent\"").empty());
+}
+
 // The log names who ended an answer, why nothing followed, and what the process itself was doing.
 TEST_CASE("the last line of a request tells who ended it and how long the endpoint and the process were silent")
 {
