Keep a silent stream until another attempt has delivered something

What callers saw: streams closed in the middle while their engine was at work, many of one host at once.

Cause: the traffic thread closed the connection to a silent engine before anyone had decided about another attempt. The decision core then often said no, because the retry budget, the attempts of the route or the chains were used up, and the caller's connection was closed with it. When many engines are late at once, all streams of a host are moved at once, and a host may repeat few of them: with two engines and eight streams, eight of eight were cut. A process that had itself been held up also took that time for silence of its engines.

Now a silent attempt runs on. The core is asked with AttemptStalled, and answers only when another attempt is permitted and has a chain. A stream that has begun is then set aside, not closed: it is dropped when the other attempt has delivered an event, and read on when that one fails, is refused, or is silent while bytes of the first one have come. An attempt with unread bytes is not silent, delays of the own event loop do not count as silence, and an inquiry that timed out because of such a delay proves nothing.

--- a/include/spindlecore/Decisions.h
+++ b/include/spindlecore/Decisions.h
@@ -60,6 +60,16 @@
     JACINTHSPINDLE_FIELDS(self.request, self.attempt, self.endpoint, self.kind, self.position, self.mayRepeat)
 };
 
+// The running attempt shows no progress, but may still go on. Another attempt is dispatched in its place if one is
+// permitted and a chain without the silent endpoint exists; otherwise no decision follows and the attempt runs on.
+struct AttemptStalled {
+    RequestId request;
+    uint32_t attempt = 0;
+    EndpointId endpoint; // The silent one.
+    uint32_t position = 0; // Position of the first token that is still missing.
+    JACINTHSPINDLE_FIELDS(self.request, self.attempt, self.endpoint, self.position)
+};
+
 struct RequestFinished {
     RequestId request;
     uint32_t attempt = 0;
@@ -163,7 +173,7 @@
 
 using CoreInput = std::variant<RequestArrived, FirstToken, TokensProgressed, AttemptFailed, RequestFinished, CallerGone,
     LoadReported, CacheChanged, EndpointStateReported, TableAdopted, ShareChanged, DrainStarted, Tick,
-    RetryReserveChanged, AcceleratorsDeclared, PeersCounted, PaceReported>;
+    RetryReserveChanged, AcceleratorsDeclared, PeersCounted, PaceReported, AttemptStalled>;
 
 // ---- Decisions.
 
--- a/include/spindlecore/EventSplitter.h
+++ b/include/spindlecore/EventSplitter.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace jacinthspindle {
 
@@ -23,6 +24,10 @@
     // Discards the incomplete event when an attempt ends; lastId() and delivered() stay.
     void discardPartialEvent() { m_partialEvent.clear(); }
 
+    // Moves the incomplete event out, for a stream that is read on later; restorePartialEvent() puts it back.
+    std::string takePartialEvent() { return std::exchange(m_partialEvent, {}); }
+    void restorePartialEvent(std::string bytes) { m_partialEvent = std::move(bytes); }
+
     // Returns true when an incomplete event is buffered.
     bool isInsideEvent() const { return !m_partialEvent.empty(); }
 
--- a/include/spindlecore/internal/CoreState.h
+++ b/include/spindlecore/internal/CoreState.h
@@ -86,6 +86,7 @@
     void apply(Instant, const FirstToken&, Decisions&);
     void apply(Instant, const TokensProgressed&, Decisions&);
     void apply(Instant, const AttemptFailed&, Decisions&);
+    void apply(Instant, const AttemptStalled&, Decisions&);
     void apply(Instant, const RequestFinished&, Decisions&);
     void apply(Instant, const CallerGone&, Decisions&);
     void apply(Instant, const LoadReported&, Decisions&);
@@ -127,6 +128,7 @@
 
     // CoreState.cpp
     bool dispatch(Instant, ActiveRequest&, uint32_t position, bool needsFreeSlot, Decisions&);
+    void takeSlots(Instant, ActiveRequest&);
     void releaseSlots(Instant, ActiveRequest&);
     void remove(Requests::iterator);
     void learnFirstToken(Instant, ActiveRequest&);
--- a/include/spindlecore/internal/RetryBudget.h
+++ b/include/spindlecore/internal/RetryBudget.h
@@ -26,10 +26,10 @@
 
     void recordFirstAttempt(Instant now) { ++slotAt(now).firstAttempts; }
 
-    // Counts one retry if the budget allows it. Returns false when the budget is exhausted.
-    bool tryConsume(Instant now)
+    // Returns true if the budget allows one more retry.
+    bool mayConsume(Instant now)
     {
-        auto& slot = slotAt(now);
+        const auto& slot = slotAt(now);
         double allowed = m_reserve;
         double used = 0;
         for (const auto& it : m_slots) {
@@ -40,9 +40,15 @@
             if (it.number + slotCount > slot.number)
                 allowed += m_share * it.firstAttempts;
         }
-        if (used + 1 > allowed)
+        return used + 1 <= allowed;
+    }
+
+    // Counts one retry if the budget allows it. Returns false when the budget is exhausted.
+    bool tryConsume(Instant now)
+    {
+        if (!mayConsume(now))
             return false;
-        ++slot.retries;
+        ++slotAt(now).retries;
         return true;
     }
 
--- a/src/adapters/TraceText.cpp
+++ b/src/adapters/TraceText.cpp
@@ -77,6 +77,10 @@
             out << "attempt " << it.attempt << " failed at " << it.endpoint.value() << ": " << failureName(it.kind)
                 << ", position " << it.position;
         }
+        void operator()(const AttemptStalled& it) const
+        {
+            out << "attempt " << it.attempt << " waits for " << it.endpoint.value() << ", position " << it.position;
+        }
         void operator()(const RequestFinished& it) const
         {
             out << "finished, attempt " << it.attempt << ", tokens " << it.tokens;
--- a/src/core/CoreState.cpp
+++ b/src/core/CoreState.cpp
@@ -115,18 +115,24 @@
     request.startPosition = position;
     request.priority = priorityOf(request.expectedTokens - position);
     ++request.attempt;
-    for (auto index : request.hops) {
-        m_endpoints.adjustOwnAttempts(now, index, 1);
+    for (auto index : request.hops)
         m_endpoints[index].breaker.recordAttempt(now);
-    }
-    ++request.pool->running;
-    request.pool->runningLong += request.isLong;
+    takeSlots(now, request);
     ++m_status.dispatched;
     decisions.push_back(Dispatch {
         request.arrival.request, request.attempt, request.chain, request.priority, position, m_table->revision });
     return true;
 }
 
+// Counts the slots of the request's chain as taken.
+void CoreState::takeSlots(Instant now, ActiveRequest& request)
+{
+    for (auto index : request.hops)
+        m_endpoints.adjustOwnAttempts(now, index, 1);
+    ++request.pool->running;
+    request.pool->runningLong += request.isLong;
+}
+
 // Frees the slots that the request's attempt holds, if any.
 void CoreState::releaseSlots(Instant now, ActiveRequest& request)
 {
@@ -268,6 +274,35 @@
     dispatchQueued(now, *pool, decisions);
 }
 
+void CoreState::apply(Instant now, const AttemptStalled& input, Decisions& decisions)
+{
+    auto* request = findAttempt(input.request, input.attempt);
+    if (!request || now >= request->deadline || request->attempt >= m_config.maxAttempts)
+        return;
+    auto pool = request->pool;
+    if (!pool->retries.mayConsume(now))
+        return;
+    const auto* silent = m_endpoints.find(input.endpoint);
+    if (silent)
+        request->excluded.push_back(*silent);
+    auto hops = request->hops;
+    auto chain = request->chain;
+    releaseSlots(now, *request);
+    if (!dispatch(now, *request, std::max(input.position, request->arrival.firstPosition), false, decisions)) {
+        request->hops = std::move(hops);
+        request->chain = std::move(chain);
+        takeSlots(now, *request);
+        if (silent)
+            request->excluded.pop_back();
+        return;
+    }
+    if (silent)
+        m_endpoints[*silent].breaker.recordFailure(now, 1);
+    pool->retries.tryConsume(now);
+    ++m_status.repeated;
+    dispatchQueued(now, *pool, decisions);
+}
+
 void CoreState::abandon(Requests::iterator it, ResultCode code, Decisions& decisions)
 {
     ++m_status.abandoned;
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -310,7 +310,8 @@
     if (took < loggedAdoption)
         return;
     m_journal.write(LineKind::Warning, "table-adoption-slow",
-        { { "took_ms", millisecondsOf(took) }, { "configuration_version", m_configuration ? m_configuration->version : 0 },
+        { { "took_ms", millisecondsOf(took) },
+            { "configuration_version", m_configuration ? m_configuration->version : 0 },
             { "table_revision", m_revision } });
 }
 
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -27,6 +27,8 @@
     // Callers leave a stream after this time without an event, four times the objective of the first one or eight times
     // the permitted pause, whichever is longest.
     constexpr milliseconds leastPatience { 2000 };
+    // Between two questions to the core whether another attempt may take over from a silent one.
+    constexpr milliseconds moveInterval { 500 };
     // An event of a stream holds a few tokens; only the length estimates of the core use the figure.
     constexpr uint32_t tokensPerEvent = 2;
 
@@ -54,21 +56,53 @@
         return;
     m_decision = decision;
     m_decisionTimer.cancel();
+    if (m_connection && m_silent && std::holds_alternative<Dispatch>(decision)) {
+        m_movedFrom = m_silent;
+        interrupt();
+    }
 }
 
 void Exchange::callerGone()
 {
     m_isCallerGone = true;
     m_decisionTimer.cancel();
+    m_standby.reset();
     closeConnection();
 }
 
 void Exchange::moveAway(const EndpointId& silent)
 {
-    if (!m_connection || m_movedFrom)
+    if (!m_connection || m_movedFrom || hasBytes(m_connection->stream.socket()))
         return;
-    m_movedFrom = silent;
-    closeConnection();
+    if (m_standby && hasBytes(m_standby->connection->stream.socket())) {
+        m_isReturning = true;
+        m_movedFrom = silent;
+        interrupt();
+        return;
+    }
+    auto now = m_context.clock.now();
+    if (m_isAbandoned || (m_silent && now - m_askedAt < moveInterval))
+        return;
+    if (const char* noRepeat = whyNoRepeat({ AttemptEnd::Failed, silent, FailureKind::Stalled, "" })) {
+        m_noRepeat = noRepeat;
+        return;
+    }
+    m_silent = silent;
+    m_askedAt = now;
+    m_context.postInput(AttemptStalled { m_request.id, m_attempt, silent, position() });
+}
+
+void Exchange::interrupt()
+{
+    if (m_hasBegun)
+        m_connection->stream.cancel();
+    else
+        closeConnection();
+}
+
+void Exchange::excuse(Duration delay)
+{
+    m_progressAt = std::min(m_context.clock.now(), m_progressAt + delay);
 }
 
 void Exchange::closeConnection()
@@ -77,16 +111,17 @@
         m_connection->stream.close();
 }
 
-Duration Exchange::silentFor() const
+bool Exchange::isSilentFor(Duration duration) const
 {
-    return m_connection && m_request.isModel ? m_context.clock.now() - m_progressAt : Duration::zero();
+    return m_connection && m_request.isModel && m_context.clock.now() - m_progressAt >= duration
+        && !hasBytes(m_connection->stream.socket());
 }
 
 bool Exchange::isStalled() const
 {
     const auto& route = m_request.route;
     auto patience = std::max({ leastPatience, route.targetLatency * 4, route.targetEventGap * 8 });
-    return silentFor() >= patience;
+    return isSilentFor(patience);
 }
 
 void Exchange::note(const char* event, std::vector<LineField> fields)
@@ -147,36 +182,83 @@
     m_context.metrics.add(daemon::Counter::RequestsArrived);
     m_context.postInput(RequestArrived { m_request.id, m_request.workspace, RouteId(m_request.service),
         m_request.promptTokens, m_request.maxTokens, 0, {}, timeLeft() });
+    auto end = co_await runAttempts();
+    m_standby.reset();
+    // The request ended while the core decided about another attempt, which the core still counts.
+    if (m_decision && std::holds_alternative<Dispatch>(*m_decision))
+        m_context.postInput(CallerGone { m_request.id });
+    co_return end;
+}
+
+net::awaitable<ExchangeEnd> Exchange::runAttempts()
+{
     while (true) {
         auto decision = co_await nextDecision();
         if (m_isCallerGone)
             co_return endWithoutCaller();
-        if (!decision) {
-            m_context.postInput(CallerGone { m_request.id });
-            co_return co_await giveUp(ResultCode::DeadlineExceeded);
+        const auto* dispatched = decision ? std::get_if<Dispatch>(&*decision) : nullptr;
+        if (!dispatched && !mayResumeStandby())
+            co_return co_await endWithoutAttempt(decision);
+        uint32_t number = dispatched ? dispatched->attempt : m_standby->number;
+        AttemptResult result;
+        if (dispatched) {
+            result = co_await attempt(*dispatched);
+        } else {
+            m_isAbandoned = true;
+            result = co_await resumeStandby(number);
         }
-        if (const auto* refused = std::get_if<Refuse>(&*decision))
-            co_return co_await refuse(*refused);
-        if (const auto* abandoned = std::get_if<Abandon>(&*decision)) {
-            m_noRepeat = resultName(abandoned->code);
-            co_return co_await giveUp(abandoned->code);
+        if (m_isReturning && mayResumeStandby()) {
+            noteFailure(result, number, nullptr);
+            result = co_await resumeStandby(number);
+        }
+        if (result.end == AttemptEnd::SetAside) {
+            noteFailure(result, number, nullptr);
+            continue;
         }
-        const auto& dispatched = std::get<Dispatch>(*decision);
-        auto result = co_await attempt(dispatched);
         bool isOver = false;
-        auto end = co_await afterAttempt(result, dispatched.attempt, isOver);
+        auto end = co_await afterAttempt(result, number, isOver);
         if (isOver)
             co_return end;
     }
 }
 
+net::awaitable<ExchangeEnd> Exchange::endWithoutAttempt(const std::optional<CoreDecision>& decision)
+{
+    if (!decision) {
+        m_context.postInput(CallerGone { m_request.id });
+        co_return co_await giveUp(ResultCode::DeadlineExceeded);
+    }
+    if (const auto* refused = std::get_if<Refuse>(&*decision))
+        co_return co_await refuse(*refused);
+    const auto& abandoned = std::get<Abandon>(*decision);
+    m_noRepeat = resultName(abandoned.code);
+    co_return co_await giveUp(abandoned.code);
+}
+
+void Exchange::noteFailure(const AttemptResult& result, uint32_t attempt, const char* noRepeat)
+{
+    m_context.metrics.add(daemon::Counter::AttemptsFailed);
+    m_noRepeat = noRepeat ? noRepeat : "";
+    m_wasSilent = result.kind == FailureKind::Stalled;
+    note("attempt-failed",
+        { { "attempt", attempt }, { "endpoint", result.atFault.value() }, { "detail", result.detail },
+            { "may_repeat", !noRepeat }, { "no_repeat", m_noRepeat }, { "events", m_events.delivered() },
+            { "left_ms", millisecondsOf(timeLeft()) },
+            { "last_byte_ms", m_byteAt ? millisecondsOf(m_context.clock.now() - *m_byteAt) : -1 },
+            { "held_up_ms", millisecondsOf(m_context.recentDelay()) } });
+}
+
+uint32_t Exchange::position() const
+{
+    return static_cast<uint32_t>(m_events.delivered()) * tokensPerEvent;
+}
+
 // Reports the attempt to the core. The exchange is over unless the core decides about another attempt.
 net::awaitable<ExchangeEnd> Exchange::afterAttempt(const AttemptResult& result, uint32_t attempt, bool& isOver)
 {
     isOver = true;
     if (result.end == AttemptEnd::Complete) {
-        auto tokens = static_cast<uint32_t>(m_events.delivered()) * tokensPerEvent;
-        m_context.postInput(RequestFinished { m_request.id, attempt, tokens });
+        m_context.postInput(RequestFinished { m_request.id, attempt, position() });
         if (m_hasBegun) {
             bool isWhole = co_await m_sink.endParts();
             finish(ResultCode::Ok, 200, EndedBy::Endpoint);
@@ -186,22 +268,16 @@
     }
     if (m_isCallerGone)
         co_return endWithoutCaller();
-    m_context.metrics.add(daemon::Counter::AttemptsFailed);
-    const char* noRepeat = whyNoRepeat(result);
-    bool repeats = !noRepeat;
-    m_noRepeat = noRepeat ? noRepeat : "";
-    m_wasSilent = result.kind == FailureKind::Stalled;
-    note("attempt-failed",
-        { { "attempt", attempt }, { "endpoint", result.atFault.value() }, { "detail", result.detail },
-            { "may_repeat", repeats }, { "no_repeat", m_noRepeat }, { "events", m_events.delivered() },
-            { "left_ms", millisecondsOf(timeLeft()) },
-            { "last_byte_ms", m_byteAt ? millisecondsOf(m_context.clock.now() - *m_byteAt) : -1 },
-            { "held_up_ms", millisecondsOf(m_context.recentDelay()) } });
-    auto position = static_cast<uint32_t>(m_events.delivered()) * tokensPerEvent;
-    m_context.postInput(AttemptFailed { m_request.id, attempt, result.atFault, result.kind, position, repeats });
-    if (repeats) {
-        isOver = false;
-        co_return ExchangeEnd::Answered;
+    const char* noRepeat = m_isAbandoned ? "abandoned" : whyNoRepeat(result);
+    noteFailure(result, attempt, noRepeat);
+    if (!m_isAbandoned) {
+        m_context.postInput(
+            AttemptFailed { m_request.id, attempt, result.atFault, result.kind, position(), !noRepeat });
+        // The core also answers when no attempt may follow; then the stream that was set aside goes on.
+        if (!noRepeat || mayResumeStandby()) {
+            isOver = false;
+            co_return ExchangeEnd::Answered;
+        }
     }
     bool isLate = result.end == AttemptEnd::TimedOut;
     co_return co_await giveUp(isLate ? ResultCode::DeadlineExceeded : ResultCode::EndpointFailed);
@@ -227,11 +303,20 @@
         return "attempts of a request";
     if (result.end == AttemptEnd::NotExecuted && m_request.isModel)
         return nullptr; // Another chain may have the same head, which is no further endpoint; see maySendTo().
-    if (m_sentTo.size() >= m_request.route.maxAttempts)
+    auto used = m_sentTo.size();
+    if (isHeadSilent(result) && m_sentTo.contains(m_head.endpoint))
+        --used;
+    if (used >= m_request.route.maxAttempts)
         return "attempts of the route";
     return result.end == AttemptEnd::NotExecuted || mayRunAgain() ? nullptr : "may have run";
 }
 
+// A head that is lost itself does not count as an endpoint that ran the request; one whose chain is broken does.
+bool Exchange::isHeadSilent(const AttemptResult& result) const
+{
+    return result.kind == FailureKind::Stalled && result.atFault == m_head.endpoint;
+}
+
 bool Exchange::maySendTo(const EndpointId& head) const
 {
     return m_sentTo.contains(head) || m_sentTo.size() < m_request.route.maxAttempts;
@@ -312,6 +397,9 @@
 net::awaitable<Exchange::AttemptResult> Exchange::attempt(const Dispatch& dispatch)
 {
     m_movedFrom.reset();
+    m_silent.reset();
+    m_isReturning = false;
+    m_attempt = dispatch.attempt;
     m_events.discardPartialEvent();
     auto view = m_context.currentView();
     const auto& first = dispatch.chain.front().endpoint;
@@ -326,46 +414,84 @@
         { { "attempt", dispatch.attempt }, { "endpoint", first.value() }, { "chain", *chain },
             { "table_revision", dispatch.tableRevision }, { "left_ms", millisecondsOf(timeLeft()) } });
     m_context.metrics.add(daemon::Counter::AttemptsStarted);
-    auto connection = co_await acquire(m_head);
-    if (!connection || m_isCallerGone)
+    OpenAttempt open { dispatch.attempt, m_head, nullptr, nullptr, {} };
+    open.connection = co_await acquire(m_head);
+    if (!open.connection || m_isCallerGone)
         co_return AttemptResult { AttemptEnd::NotSent, first, FailureKind::ConnectFailed, "connect" };
-    m_connection = connection.get();
+    m_connection = open.connection.get();
     auto result = AttemptResult {};
     bool isForeign = false;
-    std::unique_ptr<Parser> parser;
     m_progressAt = m_context.clock.now();
     ++m_sends;
     m_sentTo.insert(first);
     bool hadRun = m_mayHaveRun;
     m_mayHaveRun = true;
-    connection->stream.expires_after(std::max<Duration>(timeLeft(), milliseconds(1)) + deadlineGrace);
+    m_connection->stream.expires_after(std::max<Duration>(timeLeft(), milliseconds(1)) + deadlineGrace);
     if (!m_request.isModel)
         chain->clear();
-    bool isWritten = co_await writeRequest(*connection, *chain);
+    bool isWritten = co_await writeRequest(*m_connection, *chain);
     bool isAnswered = false;
     if (isWritten)
-        isAnswered = co_await readOwnHeader(*connection, parser, isForeign);
+        isAnswered = co_await readOwnHeader(*open.connection, open.parser, isForeign);
     if (!isAnswered)
         result = broken(isWritten ? "no answer" : "write");
-    else if (isSuccess(parser->get().result_int())
-        && parser->get()[http::field::content_type].starts_with("text/event-stream"))
-        result = co_await relayStream(*connection, *parser, dispatch.attempt);
+    else if (isSuccess(open.parser->get().result_int())
+        && open.parser->get()[http::field::content_type].starts_with("text/event-stream"))
+        result = co_await relayStream(*open.connection, *open.parser, dispatch.attempt);
     else
-        result = co_await takeWhole(*connection, *parser);
-    m_connection = nullptr;
+        result = co_await takeWhole(*open.connection, *open.parser);
     if (result.end == AttemptEnd::NotExecuted)
         m_mayHaveRun = hadRun;
-    // A head that is lost itself does not count as an endpoint that ran the request; one whose chain is broken does.
-    bool isHeadLost = result.kind == FailureKind::Stalled && result.atFault == first;
-    if (isHeadLost)
-        m_sentTo.erase(first);
-    bool isReusable = result.end != AttemptEnd::CallerGone && parser && parser->is_done() && parser->keep_alive()
-        && !isForeign && !connection->buffer.size() && !m_isCallerGone && !m_movedFrom;
-    if (isReusable)
-        m_context.pool.giveBack(std::move(connection), idleLimitOf(parser->get().base()));
+    settle(std::move(open), result, isForeign);
     co_return result;
 }
 
+net::awaitable<Exchange::AttemptResult> Exchange::resumeStandby(uint32_t attempt)
+{
+    auto open = std::move(*m_standby);
+    m_standby.reset();
+    m_movedFrom.reset();
+    m_silent.reset();
+    m_isReturning = false;
+    m_attempt = open.number = attempt;
+    m_head = open.head;
+    m_sentTo.insert(m_head.endpoint);
+    m_events.restorePartialEvent(std::move(open.partialEvent));
+    m_connection = open.connection.get();
+    m_progressAt = m_context.clock.now();
+    m_connection->stream.expires_after(timeLeft() + deadlineGrace);
+    note("attempt-resumed",
+        { { "attempt", attempt }, { "endpoint", m_head.endpoint.value() }, { "left_ms", millisecondsOf(timeLeft()) } });
+    auto result = co_await relayStream(*open.connection, *open.parser, attempt);
+    settle(std::move(open), result, false);
+    co_return result;
+}
+
+void Exchange::settle(OpenAttempt open, const AttemptResult& result, bool isForeign)
+{
+    m_connection = nullptr;
+    if (isHeadSilent(result))
+        m_sentTo.erase(m_head.endpoint);
+    if (result.end == AttemptEnd::SetAside) {
+        // Of two streams, the one is kept from which the caller has received something.
+        if (!m_standby) {
+            open.partialEvent = m_events.takePartialEvent();
+            m_standby = std::move(open);
+        }
+        return;
+    }
+    bool isReusable = result.end != AttemptEnd::CallerGone && open.parser && open.parser->is_done()
+        && open.parser->keep_alive() && !isForeign && !open.connection->buffer.size() && !m_isCallerGone
+        && !m_movedFrom;
+    if (isReusable)
+        m_context.pool.giveBack(std::move(open.connection), idleLimitOf(open.parser->get().base()));
+}
+
+Exchange::AttemptResult Exchange::setAside() const
+{
+    return { AttemptEnd::SetAside, *m_movedFrom, FailureKind::Stalled, "an endpoint is silent" };
+}
+
 Exchange::AttemptResult Exchange::broken(const char* detail) const
 {
     if (m_isCallerGone)
@@ -573,7 +699,11 @@
         co_return notOwnAnswer();
     std::string events;
     while (!parser.is_done()) {
+        if (m_movedFrom && m_hasBegun)
+            co_return setAside();
         auto bytes = co_await readSome(connection, parser);
+        if (!bytes && m_movedFrom && m_hasBegun && !m_isCallerGone)
+            co_return setAside();
         if (!bytes)
             co_return broken("stream broke off");
         if (bytes->empty())
@@ -586,6 +716,11 @@
         // Bytes that end no event are no progress: the caller sees none either.
         m_progressAt = m_context.clock.now();
         noteEvent(m_progressAt);
+        m_standby.reset();
+        if (m_isReturning) {
+            m_isReturning = false;
+            m_movedFrom.reset();
+        }
         bool isReached = co_await sendEvents(header, events, attempt);
         if (!isReached) {
             m_isCallerGone = true;
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -74,20 +74,33 @@
     // Inputs from the traffic thread while run() is in progress.
     void decide(const CoreDecision&);
     void callerGone();
-    // Ends the running attempt because this endpoint does not answer; the work continues elsewhere.
+    // This endpoint of the running attempt is silent. The work goes on elsewhere once the core has dispatched another
+    // attempt; until that one has delivered something, a stream that has begun is kept.
     void moveAway(const EndpointId& silent);
+    // The process was held up for this long, in which no endpoint could show progress.
+    void excuse(Duration delay);
 
     const RequestId& id() const { return m_request.id; }
     const std::string& wireId() const { return m_request.wireId; }
     // Endpoint to which the running attempt was sent; null between attempts.
     const EndpointSighting* head() const { return m_connection ? &m_head : nullptr; }
-    // For how long an attempt of a model has shown no progress; zero when none runs.
-    Duration silentFor() const;
+    // True when an attempt of a model has shown no progress for this long and nothing of it is still to be read.
+    bool isSilentFor(Duration) const;
     // True when the running attempt has shown no progress for as long as callers wait for an event.
     bool isStalled() const;
 
 private:
-    enum class AttemptEnd : uint8_t { Complete, NotSent, OutOfAttempts, NotExecuted, Failed, CallerGone, TimedOut };
+    // SetAside: the stream is kept as m_standby while another attempt runs.
+    enum class AttemptEnd : uint8_t {
+        Complete,
+        NotSent,
+        OutOfAttempts,
+        NotExecuted,
+        Failed,
+        CallerGone,
+        TimedOut,
+        SetAside
+    };
     struct AttemptResult {
         AttemptEnd end = AttemptEnd::NotSent;
         EndpointId atFault; // Empty when it is not known.
@@ -96,12 +109,28 @@
     };
     using Parser = http::response_parser<http::buffer_body>;
 
+    // An attempt's connection; the parser is null until the header of the answer is being read.
+    struct OpenAttempt {
+        uint32_t number = 0;
+        EndpointSighting head;
+        std::unique_ptr<EndpointConnection> connection;
+        std::unique_ptr<Parser> parser;
+        std::string partialEvent; // While it is set aside.
+    };
+
+    net::awaitable<ExchangeEnd> runAttempts();
     net::awaitable<std::optional<CoreDecision>> nextDecision();
+    net::awaitable<ExchangeEnd> endWithoutAttempt(const std::optional<CoreDecision>&);
     net::awaitable<ExchangeEnd> refuse(const Refuse&);
     net::awaitable<ExchangeEnd> giveUp(ResultCode);
     net::awaitable<ExchangeEnd> afterAttempt(const AttemptResult&, uint32_t attempt, bool& isOver);
 
     net::awaitable<AttemptResult> attempt(const Dispatch&);
+    // Reads the stream on that was set aside, as the attempt with this number.
+    net::awaitable<AttemptResult> resumeStandby(uint32_t attempt);
+    bool mayResumeStandby() const { return m_standby && !m_isCallerGone && timeLeft() > Duration::zero(); }
+    // Keeps the connection of an attempt that has ended, or drops it.
+    void settle(OpenAttempt, const AttemptResult&, bool isForeign);
     net::awaitable<std::unique_ptr<EndpointConnection>> acquire(const EndpointSighting&);
     net::awaitable<bool> writeRequest(EndpointConnection&, std::string chain);
     net::awaitable<bool> readOwnHeader(EndpointConnection&, std::unique_ptr<Parser>&, bool& isForeign);
@@ -117,6 +146,10 @@
     bool isOwnAnswer(const http::response_header<>&) const;
     AttemptResult notOwnAnswer() const;
     AttemptResult broken(const char* detail) const;
+    AttemptResult setAside() const;
+    void noteFailure(const AttemptResult&, uint32_t attempt, const char* noRepeat);
+    bool isHeadSilent(const AttemptResult&) const;
+    uint32_t position() const;
     void noteEndpoint(const http::response_header<>&) const;
     EndpointId faultOf(const http::response_header<>&) const;
     net::awaitable<bool> sendEvents(const http::response_header<>&, const std::string& events, uint32_t attempt);
@@ -128,6 +161,8 @@
     bool maySendTo(const EndpointId&) const;
     Duration timeLeft() const { return m_request.deadline - m_context.clock.now(); }
     void closeConnection();
+    // Ends the reading of the running attempt: a stream that has begun can be read on.
+    void interrupt();
     ExchangeEnd endWithoutCaller();
     net::awaitable<ExchangeEnd> sendAnswer();
     net::awaitable<ExchangeEnd> sendError(ResultCode, unsigned status, std::optional<Duration> retryAfter);
@@ -147,7 +182,13 @@
 
     EndpointConnection* m_connection = nullptr; // Of the running attempt; owned by attempt().
     EndpointSighting m_head;
-    std::optional<EndpointId> m_movedFrom; // Set when the running attempt was ended by moveAway().
+    uint32_t m_attempt = 0; // Number of the running attempt.
+    std::optional<OpenAttempt> m_standby; // A silent stream, kept until an event of another attempt has arrived.
+    std::optional<EndpointId> m_silent; // For which the core was asked last about another attempt.
+    Instant m_askedAt {}; // When it was asked; valid while m_silent is set.
+    std::optional<EndpointId> m_movedFrom; // Set when the running attempt was ended because this endpoint is silent.
+    bool m_isReturning = false; // The running attempt was ended in favour of m_standby.
+    bool m_isAbandoned = false; // The core makes no further decision about the request.
     Instant m_progressAt {}; // Last event of the running attempt, or when it was sent.
     std::optional<Instant> m_firstEventAt;
     Instant m_eventAt {}; // When the last event was passed on; valid after the first one.
--- a/src/router/Net.cpp
+++ b/src/router/Net.cpp
@@ -84,6 +84,11 @@
     return pendingOn(socket) == Pending::Nothing;
 }
 
+bool hasBytes(tcp::socket& socket)
+{
+    return pendingOn(socket) == Pending::Bytes;
+}
+
 bool isOpen(tcp::socket& socket)
 {
     return pendingOn(socket) != Pending::End;
--- a/src/router/Net.h
+++ b/src/router/Net.h
@@ -65,6 +65,9 @@
 // True when the peer has neither closed the connection nor sent bytes that nobody asked for.
 bool isQuiet(tcp::socket&);
 
+// True when bytes of the peer are still to be read.
+bool hasBytes(tcp::socket&);
+
 // True while the peer has not closed the connection, or bytes that it sent before are still to be read.
 bool isOpen(tcp::socket&);
 
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -178,7 +178,10 @@
         co_await timer.async_wait(awaitInto(ec));
         if (ec)
             co_return;
-        noteDelay(m_loopWatch.tick(m_context.clock.now()));
+        auto delay = m_loopWatch.tick(m_context.clock.now());
+        noteDelay(delay);
+        for (const auto& [id, exchange] : m_exchanges)
+            exchange->excuse(delay);
         noteReadiness();
         m_pool.sweep();
         if (!m_exchanges.empty())
@@ -189,7 +192,7 @@
 void Traffic::inquireSilent(Instant now)
 {
     for (const auto& [id, exchange] : m_exchanges) {
-        if (!exchange->head() || exchange->silentFor() < silenceBeforeInquiry)
+        if (!exchange->head() || !exchange->isSilentFor(silenceBeforeInquiry))
             continue;
         if (exchange->isStalled()) {
             // The head lives and names no silent stage, but the caller is about to leave.
@@ -208,12 +211,15 @@
 // Asks the head of chains which endpoints it waits for.
 net::awaitable<void> Traffic::inquire(EndpointSighting head)
 {
+    auto askedAt = m_context.clock.now();
     auto report = co_await m_engines.report(head.address, inquiryTimeout);
+    // After a delay of this process the answer may lie unread.
+    if (!report && m_context.clock.now() - askedAt >= inquiryTimeout + LoopWatch::leastDelay)
+        co_return;
     if (!report) {
         std::vector<std::string> waiting;
         for (const auto& [id, exchange] : m_exchanges) {
-            if (exchange->head() && exchange->head()->endpoint == head.endpoint
-                && exchange->silentFor() >= silenceOfHead)
+            if (exchange->head() && exchange->head()->endpoint == head.endpoint && exchange->isSilentFor(silenceOfHead))
                 waiting.push_back(exchange->wireId());
         }
         if (!waiting.empty())
@@ -239,7 +245,7 @@
         bool isNamed = std::find(wireIds.begin(), wireIds.end(), exchange->wireId()) != wireIds.end();
         // The report is some hundred milliseconds old; work that has moved on since is left alone.
         if (isNamed && exchange->head() && exchange->head()->address == headAddress
-            && exchange->silentFor() >= silenceBeforeInquiry / 2)
+            && exchange->isSilentFor(silenceBeforeInquiry / 2))
             exchange->moveAway(silent);
     }
 }
