Return to a stream that was set aside as soon as it goes on

What callers saw: a gap until the next engine's first event, and at the deadline a cut, though the events of the first engine lay unread.

Cause: the kept stream was looked at only when the attempt after it was found silent, which takes 2 s for an engine that answers inquiries.

--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -290,6 +290,7 @@
 
 net::awaitable<bool> ClientSession::endParts()
 {
+    m_stream.expires_after(writeTimeout);
     ErrorCode ec;
     if (!m_isOldVersion)
         co_await net::async_write(m_stream, http::make_chunk_last(), awaitInto(ec));
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -74,12 +74,6 @@
 {
     if (!m_connection || m_movedFrom || hasBytes(m_connection->stream.socket()))
         return;
-    if (m_standby && hasBytes(m_standby->connection->stream.socket())) {
-        m_isReturning = true;
-        m_movedFrom = silent;
-        interrupt();
-        return;
-    }
     auto now = m_context.clock.now();
     if (m_isAbandoned || (m_silent && now - m_askedAt < moveInterval))
         return;
@@ -92,6 +86,21 @@
     m_context.postInput(AttemptStalled { m_request.id, m_attempt, silent, position() });
 }
 
+void Exchange::followStandby()
+{
+    if (!m_connection)
+        return;
+    bool hasGoneOn
+        = m_standby && hasBytes(m_standby->connection->stream.socket()) && !hasBytes(m_connection->stream.socket());
+    if (!m_movedFrom && hasGoneOn) {
+        m_isReturning = true;
+        m_movedFrom = m_head.endpoint;
+    }
+    // Between two reads there is nothing to cancel, so that an earlier interruption may have had no effect.
+    if (m_movedFrom)
+        interrupt();
+}
+
 void Exchange::interrupt()
 {
     if (m_hasBegun)
@@ -487,6 +496,11 @@
         m_context.pool.giveBack(std::move(open.connection), idleLimitOf(open.parser->get().base()));
 }
 
+bool Exchange::isInterrupted(EndpointConnection& connection) const
+{
+    return m_movedFrom && m_hasBegun && !m_isCallerGone && connection.stream.socket().is_open();
+}
+
 Exchange::AttemptResult Exchange::setAside() const
 {
     return { AttemptEnd::SetAside, *m_movedFrom, FailureKind::Stalled, "an endpoint is silent" };
@@ -699,10 +713,10 @@
         co_return notOwnAnswer();
     std::string events;
     while (!parser.is_done()) {
-        if (m_movedFrom && m_hasBegun)
+        if (isInterrupted(connection))
             co_return setAside();
         auto bytes = co_await readSome(connection, parser);
-        if (!bytes && m_movedFrom && m_hasBegun && !m_isCallerGone)
+        if (!bytes && isInterrupted(connection))
             co_return setAside();
         if (!bytes)
             co_return broken("stream broke off");
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -77,6 +77,8 @@
     // This endpoint of the running attempt is silent. The work goes on elsewhere once the core has dispatched another
     // attempt; until that one has delivered something, a stream that has begun is kept.
     void moveAway(const EndpointId& silent);
+    // Called periodically: returns to the stream that was set aside when it has gone on first.
+    void followStandby();
     // The process was held up for this long, in which no endpoint could show progress.
     void excuse(Duration delay);
 
@@ -147,6 +149,8 @@
     AttemptResult notOwnAnswer() const;
     AttemptResult broken(const char* detail) const;
     AttemptResult setAside() const;
+    // True when the running stream was interrupted in favour of another one and can be read on later.
+    bool isInterrupted(EndpointConnection&) const;
     void noteFailure(const AttemptResult&, uint32_t attempt, const char* noRepeat);
     bool isHeadSilent(const AttemptResult&) const;
     uint32_t position() const;
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -192,6 +192,7 @@
 void Traffic::inquireSilent(Instant now)
 {
     for (const auto& [id, exchange] : m_exchanges) {
+        exchange->followStandby();
         if (!exchange->head() || !exchange->isSilentFor(silenceBeforeInquiry))
             continue;
         if (exchange->isStalled()) {
--- a/test/router/SilentEngineTest.cpp
+++ b/test/router/SilentEngineTest.cpp
@@ -86,6 +86,20 @@
     CHECK(answer.ends_with("0\r\n\r\n"));
 }
 
+// LOST in incident 2026-12-04: the stream's own engine goes on while the next one has not yet delivered anything.
+TEST_CASE("a stream goes on at its silent engine when the next engine is still slower")
+{
+    // Both heads answer inquiries and name no silent endpoint.
+    PausingEngine first({ 1, 2300ms, 5, {}, 20s });
+    PausingEngine second({ 1, 2300ms, 5, {}, 20s });
+    RouterFixture router;
+    for (const auto* it : { &first, &second })
+        router.platform().reports[it->address()] = router::EngineReport {};
+    router.start({ endpointAt("e1", "assistant", first.address()), endpointAt("e2", "assistant", second.address()) });
+    CHECK(isWhole(ask(router, 1)));
+    CHECK(first.continued() + second.continued() == 1);
+}
+
 // LOST in incident 2026-12-04: a process that was held up took the time for silence of its engines.
 TEST_CASE("no stream is moved or cut after the process itself was held up")
 {
--- a/test/support/PausingEngine.h
+++ b/test/support/PausingEngine.h
@@ -8,7 +8,6 @@
 
 namespace jacinthspindle::test {
 
-
 // Streams of events 1 to lastEvent. A request with a last event continues after it, without a pause.
 class PausingEngine {
 public:
@@ -17,6 +16,7 @@
         std::chrono::milliseconds pause {};
         int lastEvent = 5;
         std::string refusal; // Answer to a request that continues a stream; empty: it is continued.
+        std::chrono::milliseconds continuationDelay {}; // Between the head and the events of a continued stream.
     };
 
     explicit PausingEngine(Script script)
@@ -107,6 +107,8 @@
             return;
         }
         bool isOpen = write(socket, head(request));
+        if (isOpen && !last.empty())
+            isOpen = wait(socket, m_script.continuationDelay);
         for (; isOpen && next <= m_script.lastEvent; ++next) {
             isOpen = write(socket, chunk(event(next)));
             if (isOpen && last.empty() && next == m_script.pauseAfter)
--- a/test/support/ScriptedServer.h
+++ b/test/support/ScriptedServer.h
@@ -42,8 +42,9 @@
     return addressOf(name);
 }
 
-// Close: the connection ends after the answer. Hold: it stays open and silent until the server is destroyed.
-enum class AfterAnswer { Close, Hold };
+// Close: the connection ends after the answer. Reset: it is reset. Hold: it stays open and silent until the server is
+// destroyed.
+enum class AfterAnswer { Close, Reset, Hold };
 
 class ScriptedServer {
 public:
@@ -105,6 +106,10 @@
             if (readRequest(socket))
                 sendAnswer(socket);
             while (m_after == AfterAnswer::Hold && !m_isStopping && !isReadable(socket)) { }
+            if (m_after == AfterAnswer::Reset) {
+                linger abort { 1, 0 };
+                setsockopt(socket, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+            }
             close(socket);
             ++m_ended;
         }
