Count the silent engine of a begun stream among those that run the request

What endpoints saw: a stream ran at more engines than its route allows. Since a silent engine is kept at work until another has delivered something, it is no lost one, but it was still left out of the count.

Evidence: with three silent engines and two attempts allowed, two engines were asked to continue the stream (expected one); the new case of SilentEngineTest failed before and passes. An attempt that has begun nothing is closed and counts as before.

--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -313,17 +313,18 @@
     if (result.end == AttemptEnd::NotExecuted && m_request.isModel)
         return nullptr; // Another chain may have the same head, which is no further endpoint; see maySendTo().
     auto used = m_sentTo.size();
-    if (isHeadSilent(result) && m_sentTo.contains(m_head.endpoint))
+    if (isHeadLost(result) && m_sentTo.contains(m_head.endpoint))
         --used;
     if (used >= m_request.route.maxAttempts)
         return "attempts of the route";
     return result.end == AttemptEnd::NotExecuted || mayRunAgain() ? nullptr : "may have run";
 }
 
-// A head that is lost itself does not count as an endpoint that ran the request; one whose chain is broken does.
-bool Exchange::isHeadSilent(const AttemptResult& result) const
+// A head that is lost itself does not count as an endpoint that ran the request; one whose chain is broken does. The head
+// of a stream that has begun may still be at work.
+bool Exchange::isHeadLost(const AttemptResult& result) const
 {
-    return result.kind == FailureKind::Stalled && result.atFault == m_head.endpoint;
+    return !m_hasBegun && result.kind == FailureKind::Stalled && result.atFault == m_head.endpoint;
 }
 
 bool Exchange::maySendTo(const EndpointId& head) const
@@ -479,7 +480,7 @@
 void Exchange::settle(OpenAttempt open, const AttemptResult& result, bool isForeign)
 {
     m_connection = nullptr;
-    if (isHeadSilent(result))
+    if (isHeadLost(result))
         m_sentTo.erase(m_head.endpoint);
     if (result.end == AttemptEnd::SetAside) {
         // Of two streams, the one is kept from which the caller has received something.
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -152,7 +152,7 @@
     // True when the running stream was interrupted in favour of another one and can be read on later.
     bool isInterrupted(EndpointConnection&) const;
     void noteFailure(const AttemptResult&, uint32_t attempt, const char* noRepeat);
-    bool isHeadSilent(const AttemptResult&) const;
+    bool isHeadLost(const AttemptResult&) const;
     uint32_t position() const;
     void noteEndpoint(const http::response_header<>&) const;
     EndpointId faultOf(const http::response_header<>&) const;
--- a/test/router/SilentEngineTest.cpp
+++ b/test/router/SilentEngineTest.cpp
@@ -100,6 +100,20 @@
     CHECK(first.continued() + second.continued() == 1);
 }
 
+// BUDGET: engines that are silent and kept at work did not count as engines that run the request.
+TEST_CASE("a stream whose engines are all silent runs at no more of them than its route allows")
+{
+    PausingEngine first({ 1, 20s, 5, {}, 20s });
+    PausingEngine second({ 1, 20s, 5, {}, 20s });
+    PausingEngine third({ 1, 20s, 5, {}, 20s });
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", first.address()), endpointAt("e2", "assistant", second.address()),
+        endpointAt("e3", "assistant", third.address()) });
+    auto answer = ask(router, 1);
+    CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+    CHECK(first.continued() + second.continued() + third.continued() == 1);
+}
+
 // LOST in incident 2026-12-04: a process that was held up took the time for silence of its engines.
 TEST_CASE("no stream is moved or cut after the process itself was held up")
 {
