Continue a begun stream with nothing but a stream

What callers saw: a stream that had begun and broke off ended as a complete one when the next engine answered 409, 504 or a short 2xx that is no stream; after a long 2xx a second head stood in the middle of the body (ORDER, MIXED).

Cause: an answer that is no stream was classified without regard to what the caller had already received.

Evidence: of five answers of the next engine in AnswerIntegrityTest, four (409, 504, 200 short, 200 of 200,000 bytes) reached or ended the stream before; now the caller sees the events of the first engine and no end. The attempt counts as failed, so that a stream which was set aside goes on.

The same file stands for what was found impossible: a head that is cut at seven places, by an end and by a reset, at a service and at a stream, gives 502; an answer without a length is whole after an end and never after a reset. These passed at once.

--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -320,8 +320,8 @@
     return result.end == AttemptEnd::NotExecuted || mayRunAgain() ? nullptr : "may have run";
 }
 
-// A head that is lost itself does not count as an endpoint that ran the request; one whose chain is broken does. The head
-// of a stream that has begun may still be at work.
+// A head that is lost itself does not count as an endpoint that ran the request; one whose chain is broken does. The
+// head of a stream that has begun may still be at work.
 bool Exchange::isHeadLost(const AttemptResult& result) const
 {
     return !m_hasBegun && result.kind == FailureKind::Stalled && result.atFault == m_head.endpoint;
@@ -596,6 +596,8 @@
     bool isOwnSuccess = isSuccess(parser.get().result_int()) && isOwnAnswer(parser.get().base());
     if (!isOwnSuccess)
         co_return notOwnAnswer();
+    if (m_hasBegun)
+        co_return noContinuation();
     co_return co_await passThrough(connection, parser, std::move(body));
 }
 
@@ -653,6 +655,12 @@
     return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "not the endpoint's answer" };
 }
 
+// Only a stream continues what the caller has received of one.
+Exchange::AttemptResult Exchange::noContinuation() const
+{
+    return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "answer does not continue the stream" };
+}
+
 Exchange::AttemptResult Exchange::classify(const http::response_header<>& header, const std::string& body)
 {
     const auto& names = m_context.settings.headers;
@@ -665,6 +673,8 @@
         return { AttemptEnd::NotExecuted, faultOf(header), kind, "not executed" };
     if (!isOwnAnswer(header))
         return notOwnAnswer();
+    if (m_hasBegun)
+        return noContinuation();
     http::response<http::string_body> answer;
     answer.base() = forwardResponseHeader(header);
     answer.body() = body;
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -147,6 +147,7 @@
     AttemptResult classify(const http::response_header<>&, const std::string& body);
     bool isOwnAnswer(const http::response_header<>&) const;
     AttemptResult notOwnAnswer() const;
+    AttemptResult noContinuation() const;
     AttemptResult broken(const char* detail) const;
     AttemptResult setAside() const;
     // True when the running stream was interrupted in favour of another one and can be read on later.
