Keep no connection after a refusal or a failed answer

What callers saw: 503 "not run" for a request that an engine ran, when the endpoint had written an earlier refusal once more on a kept connection and the caller repeated the request under its id (REFUSED); an idempotent request could run twice.

Cause: answers are told apart by the request's id alone, and a repeated request has the id of the refusal before it. The check of a kept connection sees only a copy that has already come.

Evidence: the refusal case of AnswerIntegrityTest failed before (503 for a request that ran once; expected the stream) and passes. Only a connection whose last answer was the endpoint's own final one is kept now. Cost: one new connection for each refusal or failed answer. Not covered: a second copy of a successful answer for a caller that repeats the id of a request that was answered; each attempt of a caller has its own id.

--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -490,7 +490,8 @@
         }
         return;
     }
-    bool isReusable = result.end != AttemptEnd::CallerGone && open.parser && open.parser->is_done()
+    // A refusal or a failure that the endpoint writes once more could answer the same request when it is repeated.
+    bool isReusable = result.end == AttemptEnd::Complete && open.parser && open.parser->is_done()
         && open.parser->keep_alive() && !isForeign && !open.connection->buffer.size() && !m_isCallerGone
         && !m_movedFrom;
     if (isReusable)
--- a/test/router/AnswerIntegrityTest.cpp
+++ b/test/router/AnswerIntegrityTest.cpp
@@ -26,6 +26,81 @@
     return streamHead(request) + chunk(PausingEngine::event(1)) + "0\r\n\r\n";
 }
 
+// Keeps its connections: refuses the first request, and writes that refusal once more before the answer to a later
+// request on the same connection.
+class RepeatingServer {
+public:
+    RepeatingServer()
+        : m_socket(listenOnLoopback(m_name))
+    {
+        listen(m_socket, 16);
+        m_thread = std::thread([this] { accept(); });
+    }
+    ~RepeatingServer()
+    {
+        m_isStopping = true;
+        m_thread.join();
+        for (auto& it : m_connections)
+            it.join();
+        close(m_socket);
+    }
+    std::string address() const { return addressOf(m_name); }
+    int run() const { return m_run; }
+
+private:
+    static bool isReadable(int socket)
+    {
+        pollfd entry { socket, POLLIN, 0 };
+        return poll(&entry, 1, 10) > 0;
+    }
+    void accept()
+    {
+        while (!m_isStopping) {
+            if (!isReadable(m_socket))
+                continue;
+            int socket = accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC);
+            m_connections.emplace_back([this, socket] {
+                serve(socket);
+                close(socket);
+            });
+        }
+    }
+    void serve(int socket)
+    {
+        std::string refusal;
+        std::string bytes;
+        while (!m_isStopping) {
+            char buf[4096];
+            if (!isReadable(socket))
+                continue;
+            ssize_t n = recv(socket, buf, sizeof buf, 0);
+            if (n <= 0)
+                return;
+            bytes.append(buf, static_cast<size_t>(n));
+            if (!bytes.ends_with("question"))
+                continue;
+            std::string answer;
+            if (!m_hasRefused.exchange(true))
+                answer = refusal
+                    = httpAnswer("503 Service Unavailable", "", identityOf(bytes) + "X-Not-Executed: 1\r\n");
+            else {
+                ++m_run;
+                answer = refusal + wholeStream(bytes);
+            }
+            send(socket, answer.data(), answer.size(), MSG_NOSIGNAL);
+            bytes.clear();
+        }
+    }
+
+    sockaddr_in m_name {};
+    int m_socket;
+    std::list<std::thread> m_connections; // Grows in m_thread only.
+    std::atomic<bool> m_hasRefused { false };
+    std::atomic<int> m_run { 0 };
+    std::atomic<bool> m_isStopping { false };
+    std::thread m_thread;
+};
+
 } // namespace
 
 // ORDER and MIXED: the next engine's error or other answer was joined to the stream, or ended it as a whole one.
@@ -56,6 +131,19 @@
     }
 }
 
+// REFUSED and TWICE: a refusal that was written once more was read as the answer to a request that ran.
+TEST_CASE("a refusal that an endpoint writes once more does not answer the repeated request")
+{
+    RepeatingServer server;
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", server.address()) });
+    CHECK(statusOf(router.send(requestText("POST", "/ask/1", "r1", "question"))) == 503);
+    auto answer = router.send(requestText("POST", "/ask/1", "r1", "question"));
+    CHECK(server.run() == 1);
+    CHECK(statusOf(answer) == 200);
+    CHECK(answer.ends_with("0\r\n\r\n"));
+}
+
 // MIXED and ORDER: an endpoint stops in the middle of its answer's head.
 TEST_CASE("an answer whose head is cut anywhere becomes no success")
 {
