--- a/test/core/RetryBudgetTest.cpp
+++ b/test/core/RetryBudgetTest.cpp
@@ -193,3 +193,33 @@
     CHECK(attempts == 4);
     CHECK(firstOf<Abandon>(decisions)->code == ResultCode::AttemptsExhausted);
 }
+
+// Guards against streams that are cut because a silent attempt was ended before another one was certain.
+TEST_CASE("a silent attempt runs on, and is counted as before, unless another attempt takes its place")
+{
+    auto config = test::coreConfig();
+    config.retryPercent = 0;
+    CoreDriver driver(config);
+    driver.adopt(test::sampleTable());
+    driver.send(RetryReserveChanged { 1 });
+    auto first = driver.arrive("r1");
+    auto second = driver.arrive("r2");
+    REQUIRE(firstOf<Dispatch>(first));
+    REQUIRE(firstOf<Dispatch>(second));
+    auto silent = firstOf<Dispatch>(first)->chain.front().endpoint;
+    auto moved = driver.send(AttemptStalled { RequestId("r1"), 1, silent, 12 });
+    REQUIRE(firstOf<Dispatch>(moved));
+    CHECK(firstOf<Dispatch>(moved)->attempt == 2);
+    CHECK(firstOf<Dispatch>(moved)->firstPosition == 12);
+    CHECK_FALSE(test::uses(*firstOf<Dispatch>(moved), silent));
+    auto load = driver.ownLoad();
+    auto last = firstOf<Dispatch>(second)->chain.front().endpoint;
+    CHECK(driver.send(AttemptStalled { RequestId("r2"), 1, last, 12 }).empty());
+    CHECK(driver.ownLoad() == load);
+    CHECK(driver.status().abandoned == 0);
+    CHECK(driver.status().running == 2);
+    driver.finish("r2", 1);
+    driver.finish("r1", 2);
+    CHECK(driver.status().finished == 2);
+    CHECK(driver.ownLoad().empty());
+}
