--- a/test/router/AnswerIntegrityTest.cpp
+++ b/test/router/AnswerIntegrityTest.cpp
@@ -110,7 +110,9 @@
     const std::pair<const char*, std::string> answers[]
         = { { "409 Conflict", "error text" }, { "504 Gateway Timeout", "error text" },
               { "500 Internal Server Error", "error text" }, { "200 OK", "short" }, { "200 OK", body } };
-    for (const auto& [status, text] : answers) {
+    for (const auto& it : answers) {
+        const std::string status = it.first;
+        const auto& text = it.second;
         CAPTURE(status);
         CAPTURE(text.size());
         auto engine = [&](const std::string& request) {
--- a/test/router/SilentEngineTest.cpp
+++ b/test/router/SilentEngineTest.cpp
@@ -40,6 +40,7 @@
 int countCut(RouterFixture& router, int requests)
 {
     std::vector<std::future<std::string>> answers;
+    answers.reserve(static_cast<size_t>(requests));
     for (int i = 0; i < requests; ++i)
         answers.push_back(std::async(std::launch::async, [&router, i] { return ask(router, i); }));
     int cut = 0;
