Send an idempotent call again when its kept connection ends before the answer

What callers saw: an object that could not be stored, though the store was well.

Cause: the server closed the connection that the client had kept after the call before, while the next call was on its way. Whether the connection is still open is asked before the call and says nothing about the moment after it. The whole program passed before and afterwards, since the end mostly arrives in time.

GET and PUT of the platform's interface name the whole result and may run twice; they are sent once more over a new connection, within the time of the call. Anything else, such as a commit, still ends with an unknown outcome.

--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -103,11 +103,11 @@
     // Idle connections of the whole process, oldest first.
     class ConnectionPool {
     public:
-        std::unique_ptr<Connection> take(const std::string& address, const HostAndPort& target)
+        // Returns a kept connection; null when there is none.
+        std::unique_ptr<Connection> take(const std::string& address)
         {
-            if (auto kept = takeIdle(address); kept && kept->isQuiet())
-                return kept;
-            return std::make_unique<Connection>(target);
+            auto kept = takeIdle(address);
+            return kept && kept->isQuiet() ? std::move(kept) : nullptr;
         }
 
         void put(const std::string& address, std::unique_ptr<Connection> connection)
@@ -370,10 +370,11 @@
         client.set_write_timeout(timeout);
     }
 
-    void exchangeOn(Connection& connection, const HttpCall& call, const BodyReader& reader, HttpAnswer& answer)
+    HttpAnswer exchangeOn(Connection& connection, const HttpCall& call, const BodyReader& reader, milliseconds timeout)
     {
-        setTimeouts(connection.client, call.timeout);
-        WatchGuard guard(connection.client, call.timeout);
+        HttpAnswer answer;
+        setTimeouts(connection.client, timeout);
+        WatchGuard guard(connection.client, timeout);
         Receiver receiver(call, reader, guard, answer);
         auto request = makeRequest(call);
         request.response_handler = [&](const httplib::Response& response) { return receiver.takeHead(response); };
@@ -386,11 +387,20 @@
         answer.timedOut = !isDone && (guard.isExpired() || error == httplib::Error::ConnectionTimeout);
         if (isDone && hasMarkedEnd(response)) {
             answer.delivery = Delivery::Whole;
-            return;
+            return answer;
         }
         answer.delivery = wasNotSent(error) ? Delivery::NotSent : Delivery::Broken;
         if (answer.error.empty())
             answer.error = isDone ? "the answer's end is not marked" : httplib::to_string(error);
+        return answer;
+    }
+
+    // The server closed the kept connection while the request was on its way. Whether the request ran is unknown, so
+    // that only one that may run twice is sent again.
+    bool endedUnanswered(const HttpCall& call, const HttpAnswer& answer)
+    {
+        bool isIdempotent = call.method == "GET" || call.method == "PUT";
+        return isIdempotent && answer.delivery == Delivery::Broken && !answer.status && !answer.timedOut;
     }
 
 } // namespace
@@ -413,8 +423,15 @@
         return answer;
     }
     [[maybe_unused]] static const bool isPipeSignalIgnored = (ignorePipeSignal(), true);
-    auto connection = connectionPool().take(call.address, *target);
-    exchangeOn(*connection, call, reader, answer);
+    auto deadline = Monotonic::now() + call.timeout;
+    auto connection = connectionPool().take(call.address);
+    if (connection)
+        answer = exchangeOn(*connection, call, reader, call.timeout);
+    auto timeLeft = std::chrono::ceil<milliseconds>(deadline - Monotonic::now());
+    if (!connection || (endedUnanswered(call, answer) && timeLeft > milliseconds::zero())) {
+        connection = std::make_unique<Connection>(*target);
+        answer = exchangeOn(*connection, call, reader, timeLeft);
+    }
     if (answer.delivery == Delivery::Whole)
         connectionPool().put(call.address, std::move(connection));
     return answer;
--- a/test/adapters/HttpPlatformTest.cpp
+++ b/test/adapters/HttpPlatformTest.cpp
@@ -159,6 +159,28 @@
     CHECK_FALSE(HttpObjectStore(names.address()).list("u/", generous));
 }
 
+// A put failed because the server closed the connection that was kept after the get.
+TEST_CASE("an idempotent call is sent again over a new connection when the kept one ends before the answer")
+{
+    // The server closes a connection when its second request arrives.
+    ScriptedServer server(httpAnswer("200 OK", "bytes"), AfterAnswer::Hold);
+    HttpObjectStore store(server.address());
+    REQUIRE(store.get("name", generous));
+    CHECK(store.put("name", "bytes", generous));
+    CHECK(server.connections() == 2);
+    CHECK(store.get("name", generous));
+    CHECK(server.connections() == 3);
+}
+
+TEST_CASE("a commit is not sent again when the kept connection ends before the answer")
+{
+    ScriptedServer server(httpAnswer("200 OK", "{}"), AfterAnswer::Hold);
+    HttpTableService table(server.address());
+    REQUIRE(table.commit(sampleTransaction(), generous) == CommitOutcome::Committed);
+    CHECK(table.commit(sampleTransaction(), generous) == CommitOutcome::Unknown);
+    CHECK(server.connections() == 1);
+}
+
 TEST_CASE("an answer above the size limit is broken off")
 {
     // 70 MB, more than the 64 MB that an answer may have.
