Play the incident with daemons as real processes beside each other

The incident had been shown with one router in one process. jacinthspindle_fleet_test starts jacinthspindle-routerd processes on loopback, a stand-in of the platform's store, endpoints in a process that can be suspended, and callers that keep their connections until a daemon is gone. It judges what callers and endpoints saw: LOST, MIXED, ORDER, TWICE, REFUSED.

Case 1 changes the configuration three times and suspends all endpoints for 1.7 s beside each change.

Case 2 draws series of changes, suspended endpoints and daemons, SIGTERM, SIGKILL and a store that is away, which overlap.

--- /dev/null
+++ b/test/fleet/Fleet.h
@@ -0,0 +1,103 @@
+// Daemons as separate processes beside each other on one machine, with a stand-in of the platform's store, endpoints in
+// a process that can be suspended, and callers; and what all of them must keep to.
+
+#pragma once
+
+#include "e2e/Process.h"
+#include "fleet/Callers.h"
+#include "fleet/StoreStandIn.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace jacinthspindle::fleet {
+
+using std::chrono::milliseconds;
+
+struct FleetOptions {
+    size_t daemons = 8;
+    size_t engines = 4;
+    size_t callersPerDaemon = 3;
+    uint32_t seed = 1;
+    // Repetitions that the platform permits in 10 s beside a fifth of the requests, for each daemon.
+    double extraRetriesPerDaemon = 2.63;
+};
+
+// Reads the number from the environment, for runs that are started by hand.
+size_t numberFromEnvironment(const char* name, size_t fallback);
+
+class Fleet {
+public:
+    explicit Fleet(FleetOptions);
+    ~Fleet();
+    Fleet(const Fleet&) = delete;
+    Fleet& operator=(const Fleet&) = delete;
+
+    // Starts everything and waits until all daemons are ready and callers are served. Returns an empty text, or what
+    // failed.
+    std::string start();
+
+    // Writes the next version of the configuration with so many routes beside those that callers use.
+    void changeConfiguration(size_t idleRoutes);
+    // Suspends all endpoints, or lets them go on.
+    void suspendEndpoints(bool isSuspended);
+    void suspendDaemon(size_t daemon, bool isSuspended);
+    // Sends SIGTERM; the daemon is started again once it has ended, see poll().
+    void stopDaemon(size_t daemon);
+    void killDaemon(size_t daemon);
+    void setStoreAway(bool isAway) { m_store->setAway(isAway); }
+    // Starts daemons again that have ended, and renews the endpoints' rows in the store. Called every few milliseconds.
+    void poll();
+
+    // Ends the callers' requests and returns each promise that was broken, with the lines of its request.
+    std::vector<std::string> finish();
+    size_t daemons() const { return m_options.daemons; }
+    // Counts of how requests ended, for the log; valid after finish().
+    const std::string& summary() const { return m_summary; }
+    size_t wholeAnswers() const { return m_wholeAnswers; }
+    // Begun answers that ended before their end though the daemon lived; valid after finish().
+    size_t cutAnswers() const { return m_cutAnswers; }
+
+private:
+    struct Daemon {
+        std::unique_ptr<e2e::Process> process;
+        std::string address;
+        std::string readyAddress;
+        std::string settings; // Path.
+        std::string log; // Path.
+        bool isStopping = false;
+        std::vector<Steady::time_point> killedAt;
+        std::vector<Steady::time_point> stoppedAt;
+    };
+
+    std::string ip(size_t group, size_t number) const;
+    void writeSettings(size_t daemon);
+    void writeEndpoints();
+    void startDaemon(size_t daemon);
+    bool isReady(const Daemon&) const;
+    std::map<std::string, uint32_t> runs() const;
+    // The promise that the outcome breaks; null when it breaks none.
+    const char* brokenBy(const Outcome&, uint32_t runs) const;
+    std::string logOf(const Outcome&) const;
+
+    const FleetOptions m_options;
+    int m_block = 0; // Second number of all addresses of this fleet.
+    int m_blockSocket = -1; // Held by this fleet for as long as it exists.
+    std::string m_directory;
+    std::unique_ptr<StoreStandIn> m_store;
+    std::unique_ptr<e2e::Process> m_endpoints;
+    std::vector<std::string> m_engineAddresses;
+    std::string m_actionAddress;
+    bool m_areEndpointsSuspended = false;
+    uint64_t m_heartbeats = 0;
+    Steady::time_point m_heartbeatAt {};
+    uint64_t m_version = 0; // Of the configuration.
+    std::vector<Daemon> m_daemons;
+    std::optional<Callers> m_callers;
+    std::string m_summary;
+    size_t m_wholeAnswers = 0;
+    size_t m_cutAnswers = 0;
+};
+
+} // namespace jacinthspindle::fleet
