Share no connection with calls that may run once, and never send them again

Cause: nothing in an answer of a plain service or of the table service names its call. The caller of the exchange now says which calls may run twice. Only those and streams, whose tokens name their request, use kept connections; none is kept after an answer other than a success.

Cost: one new connection for each action, commit and refusal. What remains: a second copy of a success can still answer a later read.

--- a/src/adapters/HttpEndpoints.cpp
+++ b/src/adapters/HttpEndpoints.cpp
@@ -197,6 +197,7 @@
     call.method = "GET";
     call.path = "/v1/stages/status";
     call.timeout = timeout;
+    call.isIdempotent = true;
     auto answer = exchange(call);
     if (!answer.isWhole(200))
         return std::nullopt;
@@ -237,6 +238,7 @@
     auto http = serviceExchange(call, timeout);
     http.method = "GET";
     http.path = "/actions/" + internal::encodePathSegment(call.idempotencyKey);
+    http.isIdempotent = true;
     auto answer = exchange(http);
     if (answer.isWhole(404))
         return { LookupOutcome::NotFound, {} };
--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -395,12 +395,22 @@
         return answer;
     }
 
-    // The server closed the kept connection while the request was on its way. Whether the request ran is unknown, so
-    // that only one that may run twice is sent again.
-    bool endedUnanswered(const HttpCall& call, const HttpAnswer& answer)
+    // The server closed the kept connection while the request was on its way.
+    bool endedUnanswered(const HttpAnswer& answer)
     {
-        bool isIdempotent = call.method == "GET" || call.method == "PUT";
-        return isIdempotent && answer.delivery == Delivery::Broken && !answer.status && !answer.timedOut;
+        return answer.delivery == Delivery::Broken && !answer.status && !answer.timedOut;
+    }
+
+    // An answer that the server writes once more on a kept connection looks like that of the next call. Calls that may
+    // run once use their connection alone, and none is kept after a refusal. Tokens of a stream name their request.
+    bool mayShareConnection(const HttpCall& call, const BodyReader& reader)
+    {
+        return call.isIdempotent || reader;
+    }
+
+    bool isSuccess(const HttpAnswer& answer)
+    {
+        return answer.delivery == Delivery::Whole && answer.status >= 200 && answer.status < 300;
     }
 
 } // namespace
@@ -424,15 +434,17 @@
     }
     [[maybe_unused]] static const bool isPipeSignalIgnored = (ignorePipeSignal(), true);
     auto deadline = Monotonic::now() + call.timeout;
-    auto connection = connectionPool().take(call.address);
+    bool isShared = mayShareConnection(call, reader);
+    auto connection = isShared ? connectionPool().take(call.address) : nullptr;
     if (connection)
         answer = exchangeOn(*connection, call, reader, call.timeout);
     auto timeLeft = std::chrono::ceil<milliseconds>(deadline - Monotonic::now());
-    if (!connection || (endedUnanswered(call, answer) && timeLeft > milliseconds::zero())) {
+    bool isRepeated = call.isIdempotent && endedUnanswered(answer) && timeLeft > milliseconds::zero();
+    if (!connection || isRepeated) {
         connection = std::make_unique<Connection>(*target);
         answer = exchangeOn(*connection, call, reader, timeLeft);
     }
-    if (answer.delivery == Delivery::Whole)
+    if (isShared && isSuccess(answer))
         connectionPool().put(call.address, std::move(connection));
     return answer;
 }
--- a/src/adapters/HttpPlatform.cpp
+++ b/src/adapters/HttpPlatform.cpp
@@ -26,6 +26,7 @@
         call.method = "GET";
         call.path = path;
         call.timeout = timeout;
+        call.isIdempotent = true;
         return exchange(call);
     }
 
@@ -163,6 +164,7 @@
     call.contentType = bytesType;
     call.body = bytes;
     call.timeout = timeout;
+    call.isIdempotent = true;
     return exchange(call).isWhole(200);
 }
 
--- a/test/adapters/HttpEndpointsTest.cpp
+++ b/test/adapters/HttpEndpointsTest.cpp
@@ -277,6 +277,32 @@
     CHECK(request.find("X-Fencing-Token: 3\r\n") != std::string::npos);
 }
 
+// TWICE: an action by PUT was sent again when the server closed the kept connection.
+TEST_CASE("an action takes no kept connection and is never sent again")
+{
+    // The server closes a connection when its second request arrives, and accepts no other one before.
+    ScriptedServer server(httpAnswer("200 OK", "{}"), AfterAnswer::Hold);
+    auto call = sampleServiceCall(server.address());
+    call.method = "PUT";
+    REQUIRE(HttpPlainService().lookup(call, generous).outcome == LookupOutcome::Found);
+    CHECK(HttpPlainService().call(call, shortLimit).outcome == ServiceOutcome::Unknown);
+    CHECK(server.lastRequest().starts_with("GET "));
+}
+
+// A second copy of a refusal, late on the kept connection, answered an action that ran.
+TEST_CASE("each action has a connection of its own")
+{
+    for (const char* status : { "503 Busy", "201 Created" }) {
+        CAPTURE(status);
+        ScriptedServer server(httpAnswer(status, "{}"), AfterAnswer::Hold);
+        for (uint32_t n = 1; n <= 2; ++n) {
+            CHECK(HttpPlainService().call(sampleServiceCall(server.address()), generous).outcome
+                == ServiceOutcome::Answered);
+            CHECK(server.connections() == n);
+        }
+    }
+}
+
 TEST_CASE("a service call that cannot be sent as it is was not sent")
 {
     CHECK(
