Read the answers of endpoints and the platform with Boost.Beast

Cause: cpp-httplib 0.11.4 ends a chunked body, as if it were complete, at anything behind a chunk that is not a line end. The line end itself may be cut. Its reader shows no framing to its caller, so that nobody else can tell.

Evidence: "an answer that is cut anywhere is no success" cuts an answer with a length and one in chunks at each byte, by an end and by a reset; one cut of the chunked answer was taken for a success before. Cost: an event loop for each connection, three descriptors more.

--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -1,28 +1,32 @@
-// HTTP exchanges by cpp-httplib.
+// HTTP exchanges by Boost.Beast. cpp-httplib takes a chunked answer that is cut behind a chunk for a whole one.
 
 #include "HttpExchange.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
-#include <atomic>
-#include <cerrno>
+#include <array>
 #include <charconv>
-#include <condition_variable>
-#include <csignal>
 #include <deque>
 #include <httplib.h>
-#include <map>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <strings.h>
-#include <sys/socket.h>
-#include <thread>
+#include <utility> // Boost.Asio 1.74 needs it in C++20 and does not include it.
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
 
 namespace jacinthspindle::internal {
 
 namespace {
 
+    namespace net = boost::asio;
+    namespace beast = boost::beast;
+    namespace http = boost::beast::http;
+    using ErrorCode = boost::system::error_code;
+    using net::ip::tcp;
     using std::chrono::milliseconds;
     using Monotonic = std::chrono::steady_clock;
 
@@ -31,30 +35,24 @@
     constexpr milliseconds maxIdle { 1000 };
     constexpr size_t maxIdleConnections = 256;
     constexpr size_t errorTextLimit = 4096;
-    // A stop that comes before the library has opened its socket has no effect and is repeated after this time.
-    constexpr milliseconds stopInterval { 50 };
-
-    struct HostAndPort {
-        std::string host;
-        int port = 0;
-    };
+    constexpr size_t readBytes = size_t { 16 } << 10;
 
-    std::optional<HostAndPort> parseAddress(const std::string& address)
+    std::optional<tcp::endpoint> parseAddress(const std::string& address)
     {
         auto colon = address.rfind(':');
         if (colon == std::string::npos)
             return std::nullopt;
-        HostAndPort result { address.substr(0, colon), 0 };
-        if (result.host.size() > 2 && result.host.front() == '[' && result.host.back() == ']')
-            result.host = result.host.substr(1, result.host.size() - 2);
+        auto host = address.substr(0, colon);
+        if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+            host = host.substr(1, host.size() - 2);
+        uint16_t port = 0;
         const char* end = address.data() + address.size();
-        auto [rest, ec] = std::from_chars(address.data() + colon + 1, end, result.port);
-        if (ec != std::errc() || rest != end || result.port < 1 || result.port > 65535)
+        auto [rest, wrong] = std::from_chars(address.data() + colon + 1, end, port);
+        ErrorCode ec;
+        auto ip = net::ip::make_address(host, ec);
+        if (ec || wrong != std::errc() || rest != end || !port)
             return std::nullopt;
-        in6_addr buf {};
-        if (inet_pton(AF_INET, result.host.c_str(), &buf) != 1 && inet_pton(AF_INET6, result.host.c_str(), &buf) != 1)
-            return std::nullopt;
-        return result;
+        return tcp::endpoint(ip, port);
     }
 
     bool hasControlCharacter(std::string_view text)
@@ -76,28 +74,72 @@
         });
     }
 
-    // A connection and the moment until which it may wait.
-    struct Connection {
-        explicit Connection(const HostAndPort& target)
-            : client(target.host, target.port)
+    // One connection with an event loop of its own, so that any thread can use it, one at a time.
+    class Connection {
+    public:
+        // The moment at which the running operation is ended.
+        void setDeadline(Monotonic::time_point at) { m_stream.expires_at(at); }
+
+        ErrorCode connect(const tcp::endpoint& target)
+        {
+            auto ec = run([&](auto done) { m_stream.async_connect(target, std::move(done)); });
+            ErrorCode ignored;
+            if (!ec)
+                m_stream.socket().set_option(tcp::no_delay(true), ignored);
+            return ec;
+        }
+
+        template <typename Message> ErrorCode write(Message& message)
+        {
+            return run([&](auto done) {
+                http::async_write(m_stream, message, [done](const ErrorCode& ec, size_t) mutable { done(ec); });
+            });
+        }
+
+        template <typename Parser> ErrorCode readHeader(Parser& parser)
         {
-            client.set_keep_alive(true);
-            client.set_tcp_nodelay(true);
-            client.set_decompress(false);
-            client.set_url_encode(false);
-            client.set_follow_location(false);
+            return run([&](auto done) {
+                http::async_read_header(
+                    m_stream, m_buffer, parser, [done](const ErrorCode& ec, size_t) mutable { done(ec); });
+            });
+        }
+
+        template <typename Parser> ErrorCode readSome(Parser& parser)
+        {
+            return run([&](auto done) {
+                http::async_read_some(
+                    m_stream, m_buffer, parser, [done](const ErrorCode& ec, size_t) mutable { done(ec); });
+            });
         }
 
         // Bytes that nobody asked for would be taken for the next answer.
-        bool isQuiet() const
+        bool isQuiet()
         {
-            char buf = 0;
-            return client.is_socket_open() && recv(client.socket(), &buf, 1, MSG_PEEK | MSG_DONTWAIT) < 0
-                && errno == EAGAIN;
+            if (m_buffer.size() || !m_stream.socket().is_open())
+                return false;
+            char byte = 0;
+            ErrorCode ec;
+            m_stream.socket().non_blocking(true, ec);
+            m_stream.socket().receive(net::buffer(&byte, 1), tcp::socket::message_peek, ec);
+            return ec == net::error::would_block;
         }
 
-        httplib::Client client;
         Monotonic::time_point idleSince {};
+
+    private:
+        // Starts the operation and runs the loop until it has ended.
+        template <typename Start> ErrorCode run(Start start)
+        {
+            ErrorCode result = net::error::operation_aborted;
+            start([&result](const ErrorCode& ec) { result = ec; });
+            m_io.restart();
+            m_io.run();
+            return result;
+        }
+
+        net::io_context m_io { 1 };
+        beast::tcp_stream m_stream { m_io };
+        beast::flat_buffer m_buffer;
     };
 
     // Idle connections of the whole process, oldest first.
@@ -162,189 +204,129 @@
         return pool;
     }
 
-    // Shuts down connections whose deadline has passed. The library's own time-outs hold for a single read, so that a
-    // server that sends a byte at a time could hold a call for ever.
-    class Watchdog {
-    public:
-        struct Watch {
-            httplib::Client* client = nullptr;
-            std::atomic<Monotonic::rep> deadline { 0 };
-            std::atomic<bool> fired { false };
-
-            void setDeadline(Monotonic::time_point at) { deadline = at.time_since_epoch().count(); }
-            Monotonic::time_point getDeadline() const
-            {
-                return Monotonic::time_point(Monotonic::duration(deadline.load()));
-            }
-        };
+    using Request = http::request<http::string_body>;
+    using Parser = http::response_parser<http::buffer_body>;
 
-        Watchdog()
-            : m_thread([this] { run(); })
-        {
-        }
+    Request makeRequest(const HttpCall& call)
+    {
+        Request request;
+        request.version(11);
+        request.method_string(call.method);
+        request.target(call.path);
+        request.set(http::field::host, call.address);
+        for (const auto& [name, value] : call.headers)
+            request.insert(name, value);
+        if (!call.contentType.empty())
+            request.set(http::field::content_type, call.contentType);
+        request.body() = call.body;
+        if (!call.body.empty() || (call.method != "GET" && call.method != "HEAD"))
+            request.content_length(call.body.size());
+        return request;
+    }
 
-        ~Watchdog()
-        {
-            {
-                std::lock_guard lock(m_mutex);
-                m_isStopping = true;
-            }
-            m_wake.notify_one();
-            m_thread.join();
-        }
+    std::unique_ptr<Parser> makeParser()
+    {
+        auto parser = std::make_unique<Parser>();
+        // Boost 1.74 compares a length with a missing limit as if it were exceeded.
+        parser->body_limit(std::numeric_limits<uint64_t>::max());
+        return parser;
+    }
 
-        void add(Watch& watch)
+    // One call over one connection.
+    class Exchange {
+    public:
+        Exchange(Connection& connection, const HttpCall& call, const BodyReader& reader, milliseconds timeout)
+            : m_connection(connection)
+            , m_call(call)
+            , m_reader(reader)
         {
-            std::lock_guard lock(m_mutex);
-            auto at = watch.getDeadline();
-            bool isFirst = m_watches.empty() || at < m_watches.begin()->first;
-            m_watches.emplace(at, &watch);
-            if (isFirst)
-                m_wake.notify_one();
+            extend(timeout);
         }
 
-        // Returns after a running stop of this watch's client has ended.
-        void remove(Watch& watch)
+        // target: null when the connection is open.
+        HttpAnswer run(const tcp::endpoint* target)
         {
-            std::lock_guard lock(m_mutex);
-            std::erase_if(m_watches, [&](const auto& it) { return it.second == &watch; });
+            ErrorCode ec;
+            if (target)
+                ec = m_connection.connect(*target);
+            if (ec) {
+                m_answer.timedOut = isTimeout(ec);
+                m_answer.error = ec.message();
+                return std::move(m_answer);
+            }
+            m_answer.delivery = Delivery::Broken;
+            auto request = makeRequest(m_call);
+            ec = m_connection.write(request);
+            // A server may answer before it has read the whole request; the answer then still lies in the socket.
+            if (!isTimeout(ec))
+                ec = readHead();
+            if (!ec)
+                ec = readBody();
+            end(ec);
+            return std::move(m_answer);
         }
 
+        // The server keeps the connection open after the answer.
+        bool isKept() const { return m_isKept; }
+
     private:
-        void run()
+        void extend(milliseconds timeout)
         {
-            std::unique_lock lock(m_mutex);
-            while (!m_isStopping) {
-                if (m_watches.empty()) {
-                    m_wake.wait(lock);
-                    continue;
-                }
-                auto [at, watch] = *m_watches.begin();
-                auto now = Monotonic::now();
-                if (at > now) {
-                    m_wake.wait_until(lock, at);
-                    continue;
-                }
-                m_watches.erase(m_watches.begin());
-                m_watches.emplace(check(*watch, now), watch);
-            }
+            m_deadline = Monotonic::now() + timeout;
+            m_connection.setDeadline(m_deadline);
         }
 
-        // Returns the time of the next check.
-        static Monotonic::time_point check(Watch& watch, Monotonic::time_point now)
+        bool isTimeout(const ErrorCode& ec) const
         {
-            if (watch.getDeadline() > now)
-                return watch.getDeadline();
-            watch.fired = true;
-            watch.client->stop();
-            return now + stopInterval;
+            return ec && (ec == beast::error::timeout || Monotonic::now() >= m_deadline);
         }
 
-        std::mutex m_mutex;
-        std::condition_variable m_wake;
-        std::multimap<Monotonic::time_point, Watch*> m_watches;
-        bool m_isStopping = false;
-        std::thread m_thread;
-    };
-
-    Watchdog& watchdog()
-    {
-        static Watchdog instance;
-        return instance;
-    }
-
-    class WatchGuard {
-    public:
-        WatchGuard(httplib::Client& client, milliseconds timeout)
-        {
-            m_watch.client = &client;
-            extend(timeout);
-            watchdog().add(m_watch);
-        }
-        ~WatchGuard() { watchdog().remove(m_watch); }
-        WatchGuard(const WatchGuard&) = delete;
-        WatchGuard& operator=(const WatchGuard&) = delete;
-
-        void extend(milliseconds timeout) { m_watch.setDeadline(Monotonic::now() + timeout); }
-        // The library's time-out for a single read may come a moment before the watchdog does.
-        bool isExpired() const { return m_watch.fired || Monotonic::now() >= m_watch.getDeadline(); }
-
-    private:
-        Watchdog::Watch m_watch;
-    };
-
-    // Writing to a connection that the server has closed raises SIGPIPE, which ends a process that does not handle it.
-    void ignorePipeSignal()
-    {
-        struct sigaction current { };
-        if (sigaction(SIGPIPE, nullptr, &current) != 0 || current.sa_handler != SIG_DFL)
-            return;
-        current.sa_handler = SIG_IGN;
-        sigaction(SIGPIPE, &current, nullptr);
-    }
-
-    bool wasNotSent(httplib::Error error)
-    {
-        return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
-            || error == httplib::Error::BindIPAddress;
-    }
-
-    // Without a length or chunks, a connection that broke looks like the end of the body.
-    bool hasMarkedEnd(const httplib::Response& response)
-    {
-        if (response.status == 204 || response.status == 304)
-            return true;
-        return response.has_header("Content-Length")
-            || strcasecmp(response.get_header_value("Transfer-Encoding").c_str(), "chunked") == 0;
-    }
-
-    httplib::Request makeRequest(const HttpCall& call)
-    {
-        httplib::Request request;
-        request.method = call.method;
-        request.path = call.path;
-        request.body = call.body;
-        for (const auto& [name, value] : call.headers)
-            request.headers.emplace(name, value);
-        if (!call.contentType.empty())
-            request.headers.emplace("Content-Type", call.contentType);
-        return request;
-    }
-
-    // Collects one answer.
-    class Receiver {
-    public:
-        Receiver(const HttpCall& call, const BodyReader& reader, WatchGuard& guard, HttpAnswer& answer)
-            : m_call(call)
-            , m_reader(reader)
-            , m_guard(guard)
-            , m_answer(answer)
+        // Reads heads until that of the answer itself.
+        ErrorCode readHead()
         {
+            ErrorCode ec;
+            do {
+                m_parser = makeParser();
+                ec = m_connection.readHeader(*m_parser);
+            } while (!ec && http::to_status_class(m_parser->get().result()) == http::status_class::informational);
+            if (ec)
+                return ec;
+            m_answer.status = m_parser->get().result_int();
+            for (const auto& it : m_parser->get())
+                m_answer.headers.emplace_back(it.name_string(), it.value());
+            m_isStreamed = m_reader && m_answer.status == 200;
+            if (m_isStreamed)
+                extend(m_call.timeout);
+            return ec;
         }
 
-        bool takeHead(const httplib::Response& response)
+        ErrorCode readBody()
         {
-            m_answer.status = response.status;
-            m_isStreamed = m_reader && response.status == 200;
-            for (const auto& [name, value] : response.headers)
-                m_answer.headers.emplace_back(name, value);
-            if (m_isStreamed)
-                m_guard.extend(m_call.timeout);
-            return true;
+            std::array<char, readBytes> buf;
+            while (!m_parser->is_done()) {
+                m_parser->get().body().data = buf.data();
+                m_parser->get().body().size = buf.size();
+                auto ec = m_connection.readSome(*m_parser);
+                if (ec && ec != http::error::need_buffer)
+                    return ec;
+                size_t n = buf.size() - m_parser->get().body().size;
+                if (n && !take({ buf.data(), n }))
+                    return net::error::operation_aborted;
+            }
+            return {};
         }
 
-        bool takeBytes(std::string_view bytes)
+        bool take(std::string_view bytes)
         {
             if (!m_isStreamed)
                 return append(bytes);
             auto verdict = m_reader(bytes);
             if (verdict == ReaderVerdict::Progress)
-                m_guard.extend(m_call.timeout);
+                extend(m_call.timeout);
             m_answer.stopped = verdict == ReaderVerdict::Stop;
             return !m_answer.stopped;
         }
 
-    private:
         bool append(std::string_view bytes)
         {
             size_t limit = m_reader ? errorTextLimit : m_call.answerLimit;
@@ -356,45 +338,28 @@
             return true;
         }
 
+        void end(const ErrorCode& ec)
+        {
+            m_answer.timedOut = isTimeout(ec);
+            // Without a length or chunks, a connection that broke looks like the end of the body.
+            bool hasMarkedEnd = !ec && !m_parser->need_eof();
+            if (hasMarkedEnd)
+                m_answer.delivery = Delivery::Whole;
+            else if (m_answer.error.empty())
+                m_answer.error = ec ? ec.message() : "the answer's end is not marked";
+            m_isKept = hasMarkedEnd && m_parser->keep_alive();
+        }
+
+        Connection& m_connection;
         const HttpCall& m_call;
         const BodyReader& m_reader;
-        WatchGuard& m_guard;
-        HttpAnswer& m_answer;
+        Monotonic::time_point m_deadline;
+        std::unique_ptr<Parser> m_parser;
+        HttpAnswer m_answer;
         bool m_isStreamed = false;
+        bool m_isKept = false;
     };
 
-    void setTimeouts(httplib::Client& client, milliseconds timeout)
-    {
-        client.set_connection_timeout(timeout);
-        client.set_read_timeout(timeout);
-        client.set_write_timeout(timeout);
-    }
-
-    HttpAnswer exchangeOn(Connection& connection, const HttpCall& call, const BodyReader& reader, milliseconds timeout)
-    {
-        HttpAnswer answer;
-        setTimeouts(connection.client, timeout);
-        WatchGuard guard(connection.client, timeout);
-        Receiver receiver(call, reader, guard, answer);
-        auto request = makeRequest(call);
-        request.response_handler = [&](const httplib::Response& response) { return receiver.takeHead(response); };
-        request.content_receiver = [&](const char* data, size_t n, uint64_t, uint64_t) {
-            return receiver.takeBytes({ data, n });
-        };
-        httplib::Response response;
-        auto error = httplib::Error::Success;
-        bool isDone = connection.client.send(request, response, error);
-        answer.timedOut = !isDone && (guard.isExpired() || error == httplib::Error::ConnectionTimeout);
-        if (isDone && hasMarkedEnd(response)) {
-            answer.delivery = Delivery::Whole;
-            return answer;
-        }
-        answer.delivery = wasNotSent(error) ? Delivery::NotSent : Delivery::Broken;
-        if (answer.error.empty())
-            answer.error = isDone ? "the answer's end is not marked" : httplib::to_string(error);
-        return answer;
-    }
-
     // The server closed the kept connection while the request was on its way.
     bool endedUnanswered(const HttpAnswer& answer)
     {
@@ -432,19 +397,24 @@
         answer.error = !target ? "the address is not IP:port" : "the request cannot be sent";
         return answer;
     }
-    [[maybe_unused]] static const bool isPipeSignalIgnored = (ignorePipeSignal(), true);
     auto deadline = Monotonic::now() + call.timeout;
     bool isShared = mayShareConnection(call, reader);
     auto connection = isShared ? connectionPool().take(call.address) : nullptr;
+    bool isKept = false;
+    auto run = [&](const tcp::endpoint* newTarget, milliseconds timeout) {
+        Exchange exchange(*connection, call, reader, timeout);
+        answer = exchange.run(newTarget);
+        isKept = exchange.isKept();
+    };
     if (connection)
-        answer = exchangeOn(*connection, call, reader, call.timeout);
+        run(nullptr, call.timeout);
     auto timeLeft = std::chrono::ceil<milliseconds>(deadline - Monotonic::now());
     bool isRepeated = call.isIdempotent && endedUnanswered(answer) && timeLeft > milliseconds::zero();
     if (!connection || isRepeated) {
-        connection = std::make_unique<Connection>(*target);
-        answer = exchangeOn(*connection, call, reader, timeLeft);
+        connection = std::make_unique<Connection>();
+        run(&*target, timeLeft);
     }
-    if (isShared && isSuccess(answer))
+    if (isShared && isKept && isSuccess(answer))
         connectionPool().put(call.address, std::move(connection));
     return answer;
 }
--- a/test/adapters/HttpPlatformTest.cpp
+++ b/test/adapters/HttpPlatformTest.cpp
@@ -196,6 +196,22 @@
     }
 }
 
+// A server that stops in the middle of an answer, at each of its bytes.
+TEST_CASE("an answer that is cut anywhere is no success")
+{
+    std::vector<std::string> answers { httpAnswer("200 OK", "body"),
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0a\r\n0123456789\r\n0\r\n\r\n" };
+    for (const auto& whole : answers) {
+        for (auto after : { AfterAnswer::Close, AfterAnswer::Reset }) {
+            for (size_t n = 0; n < whole.size(); ++n) {
+                CAPTURE(whole.substr(0, n));
+                ScriptedServer server(whole.substr(0, n), after);
+                CHECK_FALSE(HttpObjectStore(server.address()).get("name", generous));
+            }
+        }
+    }
+}
+
 TEST_CASE("an answer above the size limit is broken off")
 {
     // 70 MB, more than the 64 MB that an answer may have.
