Split the attempts of a request from its decisions

What happens at an endpoint (connection, header, relaying, judging an answer) is now in ExchangeAttempt.cpp; decisions, limits and the answer to the caller stay.

--- /dev/null
+++ b/src/router/ExchangeAttempt.cpp
@@ -0,0 +1,394 @@
+// One attempt of a request at an endpoint: its connection, its answer, and what is passed on of it.
+
+#include "router/Exchange.h"
+
+#include <limits>
+
+namespace jacinthspindle::router {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // An endpoint that lives accepts within a few milliseconds; a lost packet is sent again after 200 ms.
+    constexpr milliseconds connectTimeout { 350 };
+    // The endpoint's own answer at the deadline is preferred to one of the router.
+    constexpr milliseconds deadlineGrace { 60 };
+    // A request that must not run twice is sent over a connection that was used just now: an older one may be about to
+    // be closed, and then nobody knows whether the request ran.
+    constexpr milliseconds freshIdle { 400 };
+    // Of an answer that is no stream, what is held until it is whole, so that a failed one can be replaced. Longer
+    // answers are passed on as they come.
+    constexpr size_t maxHeldBytes = size_t { 64 } << 10;
+
+} // namespace
+
+net::awaitable<std::unique_ptr<EndpointConnection>> Exchange::acquire(const EndpointSighting& endpoint)
+{
+    auto maxIdle = mayRunAgain() ? Duration::max() : Duration(freshIdle);
+    if (auto idle = m_context.pool.takeIdle(endpoint.address, maxIdle))
+        co_return idle;
+    auto timeout = std::min<Duration>(connectTimeout, std::max<Duration>(timeLeft(), milliseconds(1)));
+    co_return co_await m_context.pool.connect(
+        endpoint.address, std::chrono::duration_cast<milliseconds>(timeout) + milliseconds(1));
+}
+
+net::awaitable<Exchange::AttemptResult> Exchange::attempt(const Dispatch& dispatch)
+{
+    m_movedFrom.reset();
+    m_silent.reset();
+    m_isReturning = false;
+    m_attempt = dispatch.attempt;
+    m_events.discardPartialEvent();
+    auto view = m_context.currentView();
+    const auto& first = dispatch.chain.front().endpoint;
+    const auto* head = view->findEndpoint(first);
+    auto chain = chainText(*view, dispatch.chain);
+    if (head && !maySendTo(first))
+        co_return AttemptResult { AttemptEnd::OutOfAttempts, {}, FailureKind::StreamBroken, "attempts of the route" };
+    if (!head || !chain)
+        co_return AttemptResult { AttemptEnd::NotSent, first, FailureKind::ConnectFailed, "endpoint has gone" };
+    m_head = *head;
+    note("dispatched",
+        { { "attempt", dispatch.attempt }, { "endpoint", first.value() }, { "chain", *chain },
+            { "table_revision", dispatch.tableRevision }, { "left_ms", millisecondsOf(timeLeft()) } });
+    m_context.metrics.add(daemon::Counter::AttemptsStarted);
+    OpenAttempt open { dispatch.attempt, m_head, nullptr, nullptr, {} };
+    open.connection = co_await acquire(m_head);
+    if (!open.connection || m_isCallerGone)
+        co_return AttemptResult { AttemptEnd::NotSent, first, FailureKind::ConnectFailed, "connect" };
+    m_connection = open.connection.get();
+    auto result = AttemptResult {};
+    bool isForeign = false;
+    m_progressAt = m_context.clock.now();
+    ++m_sends;
+    m_sentTo.insert(first);
+    bool hadRun = m_mayHaveRun;
+    m_mayHaveRun = true;
+    m_connection->stream.expires_after(std::max<Duration>(timeLeft(), milliseconds(1)) + deadlineGrace);
+    if (!m_request.isModel)
+        chain->clear();
+    bool isWritten = co_await writeRequest(*m_connection, *chain);
+    bool isAnswered = false;
+    if (isWritten)
+        isAnswered = co_await readOwnHeader(*open.connection, open.parser, isForeign);
+    if (!isAnswered)
+        result = broken(isWritten ? "no answer" : "write");
+    else if (isSuccess(open.parser->get().result_int())
+        && open.parser->get()[http::field::content_type].starts_with("text/event-stream"))
+        result = co_await relayStream(*open.connection, *open.parser, dispatch.attempt);
+    else
+        result = co_await takeWhole(*open.connection, *open.parser);
+    if (result.end == AttemptEnd::NotExecuted)
+        m_mayHaveRun = hadRun;
+    settle(std::move(open), result, isForeign);
+    co_return result;
+}
+
+net::awaitable<Exchange::AttemptResult> Exchange::resumeStandby(uint32_t attempt)
+{
+    auto open = std::move(*m_standby);
+    m_standby.reset();
+    m_movedFrom.reset();
+    m_silent.reset();
+    m_isReturning = false;
+    m_attempt = open.number = attempt;
+    m_head = open.head;
+    m_sentTo.insert(m_head.endpoint);
+    m_events.restorePartialEvent(std::move(open.partialEvent));
+    m_connection = open.connection.get();
+    m_progressAt = m_context.clock.now();
+    m_connection->stream.expires_after(timeLeft() + deadlineGrace);
+    note("attempt-resumed",
+        { { "attempt", attempt }, { "endpoint", m_head.endpoint.value() }, { "left_ms", millisecondsOf(timeLeft()) } });
+    auto result = co_await relayStream(*open.connection, *open.parser, attempt);
+    settle(std::move(open), result, false);
+    co_return result;
+}
+
+void Exchange::settle(OpenAttempt open, const AttemptResult& result, bool isForeign)
+{
+    m_connection = nullptr;
+    if (isHeadLost(result))
+        m_sentTo.erase(m_head.endpoint);
+    if (result.end == AttemptEnd::SetAside) {
+        // Of two streams, the one is kept from which the caller has received something.
+        if (!m_standby) {
+            open.partialEvent = m_events.takePartialEvent();
+            m_standby = std::move(open);
+        }
+        return;
+    }
+    // A refusal or a failure that the endpoint writes once more could answer the same request when it is repeated.
+    bool isReusable = result.end == AttemptEnd::Complete && open.parser && open.parser->is_done()
+        && open.parser->keep_alive() && !isForeign && !open.connection->buffer.size() && !m_isCallerGone
+        && !m_movedFrom;
+    if (isReusable)
+        m_context.pool.giveBack(std::move(open.connection), idleLimitOf(open.parser->get().base()));
+}
+
+bool Exchange::isInterrupted(EndpointConnection& connection) const
+{
+    return m_movedFrom && m_hasBegun && !m_isCallerGone && connection.stream.socket().is_open();
+}
+
+Exchange::AttemptResult Exchange::setAside() const
+{
+    return { AttemptEnd::SetAside, *m_movedFrom, FailureKind::Stalled, "an endpoint is silent" };
+}
+
+Exchange::AttemptResult Exchange::broken(const char* detail) const
+{
+    if (m_isCallerGone)
+        return { AttemptEnd::CallerGone, {}, FailureKind::StreamBroken, detail };
+    if (m_movedFrom)
+        return { AttemptEnd::Failed, *m_movedFrom, FailureKind::Stalled, "an endpoint is silent" };
+    if (timeLeft() <= Duration::zero())
+        return { AttemptEnd::TimedOut, {}, FailureKind::StreamBroken, "deadline" };
+    return { AttemptEnd::Failed, m_head.endpoint, FailureKind::StreamBroken, detail };
+}
+
+net::awaitable<bool> Exchange::writeRequest(EndpointConnection& connection, std::string chain)
+{
+    ForwardedRequest forwarded;
+    forwarded.caller = &m_request.message;
+    forwarded.workspace = m_request.workspace;
+    forwarded.timeLeft = std::chrono::duration_cast<milliseconds>(timeLeft());
+    forwarded.instance = m_head.instance;
+    forwarded.chain = std::move(chain);
+    forwarded.lastEvent = m_events.lastId();
+    auto message = forwardRequest(m_context.settings.headers, forwarded);
+    ErrorCode ec;
+    co_await http::async_write(connection.stream, message, awaitInto(ec));
+    // An endpoint may answer and close before it has read the whole body; the answer then still lies in the socket.
+    co_return !ec || ec == net::error::broken_pipe || ec == net::error::connection_reset;
+}
+
+// Reads headers until those of this request's answer. A faulty endpoint may have sent another answer first.
+net::awaitable<bool> Exchange::readOwnHeader(
+    EndpointConnection& connection, std::unique_ptr<Parser>& parser, bool& isForeign)
+{
+    constexpr int maxForeign = 2;
+    for (int i = 0; i <= maxForeign; ++i) {
+        parser = std::make_unique<Parser>();
+        // Boost 1.74 compares a length with a missing limit as if it were exceeded.
+        parser->body_limit(std::numeric_limits<uint64_t>::max());
+        ErrorCode ec;
+        co_await http::async_read_header(connection.stream, connection.buffer, *parser, awaitInto(ec));
+        if (ec)
+            co_return false;
+        noteEndpoint(parser->get().base());
+        if (parser->get()[m_context.settings.headers.requestId] == m_request.wireId)
+            co_return true;
+        isForeign = true;
+        note("foreign-answer", { { "endpoint", m_head.endpoint.value() } });
+        std::string ignored;
+        auto end = co_await readBody(connection, *parser, ignored);
+        if (end != BodyEnd::Whole || !parser->keep_alive())
+            co_return false;
+    }
+    co_return false;
+}
+
+net::awaitable<std::optional<std::string_view>> Exchange::readSome(EndpointConnection& connection, Parser& parser)
+{
+    parser.get().body().data = m_chunk.data();
+    parser.get().body().size = m_chunk.size();
+    ErrorCode ec;
+    co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(ec));
+    if (ec && ec != http::error::need_buffer)
+        co_return std::nullopt;
+    m_byteAt = m_context.clock.now();
+    co_return std::string_view(m_chunk.data(), m_chunk.size() - parser.get().body().size);
+}
+
+net::awaitable<Exchange::BodyEnd> Exchange::readBody(EndpointConnection& connection, Parser& parser, std::string& body)
+{
+    while (!parser.is_done()) {
+        if (body.size() > maxHeldBytes)
+            co_return BodyEnd::TooLong;
+        auto bytes = co_await readSome(connection, parser);
+        if (!bytes)
+            co_return BodyEnd::BrokenOff;
+        body.append(*bytes);
+    }
+    co_return BodyEnd::Whole;
+}
+
+net::awaitable<Exchange::AttemptResult> Exchange::takeWhole(EndpointConnection& connection, Parser& parser)
+{
+    std::string body;
+    auto end = co_await readBody(connection, parser, body);
+    if (end == BodyEnd::BrokenOff)
+        co_return broken("answer broke off");
+    if (end == BodyEnd::Whole)
+        co_return classify(parser.get().base(), body);
+    bool isOwnSuccess = isSuccess(parser.get().result_int()) && isOwnAnswer(parser.get().base());
+    if (!isOwnSuccess)
+        co_return notOwnAnswer();
+    if (m_hasBegun)
+        co_return noContinuation();
+    co_return co_await passThrough(connection, parser, std::move(body));
+}
+
+// Passes on an answer that is too long to be held. The caller's reading bounds how fast it is read.
+net::awaitable<Exchange::AttemptResult> Exchange::passThrough(
+    EndpointConnection& connection, Parser& parser, std::string body)
+{
+    m_hasBegun = true;
+    m_isPassingThrough = true;
+    bool isReached = co_await m_sink.beginParts(forwardResponseHeader(parser.get().base()));
+    if (isReached)
+        isReached = co_await m_sink.sendPart(body);
+    body = {};
+    while (isReached && !parser.is_done()) {
+        auto bytes = co_await readSome(connection, parser);
+        if (!bytes)
+            co_return broken("answer broke off");
+        if (!bytes->empty())
+            isReached = co_await m_sink.sendPart(*bytes);
+    }
+    if (!isReached) {
+        m_isCallerGone = true;
+        co_return broken("caller");
+    }
+    co_return AttemptResult { AttemptEnd::Complete, {}, FailureKind::BadToken, "" };
+}
+
+// Passes on what the answer says about the endpoint, whichever request it belongs to.
+void Exchange::noteEndpoint(const http::response_header<>& header) const
+{
+    EndpointNotice notice { m_head.endpoint, header[m_context.settings.headers.leaving] == "1", std::nullopt };
+    if (header.result_int() == 503)
+        notice.pause = retryAfterOf(header);
+    if (notice.isLeaving || notice.pause)
+        m_context.postNotice(std::move(notice));
+}
+
+EndpointId Exchange::faultOf(const http::response_header<>& header) const
+{
+    auto address = header[m_context.settings.headers.atFault];
+    if (address.empty())
+        return m_head.endpoint;
+    const auto* endpoint = m_context.currentView()->findAddress(std::string(address));
+    return endpoint ? endpoint->endpoint : EndpointId();
+}
+
+// The signature proves that the endpoint made the answer; its body has no encoding, since none was asked for.
+bool Exchange::isOwnAnswer(const http::response_header<>& header) const
+{
+    return header.count(m_context.settings.headers.signature) && !header.count(http::field::content_encoding);
+}
+
+Exchange::AttemptResult Exchange::notOwnAnswer() const
+{
+    return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "not the endpoint's answer" };
+}
+
+// Only a stream continues what the caller has received of one.
+Exchange::AttemptResult Exchange::noContinuation() const
+{
+    return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "answer does not continue the stream" };
+}
+
+Exchange::AttemptResult Exchange::classify(const http::response_header<>& header, const std::string& body)
+{
+    const auto& names = m_context.settings.headers;
+    auto status = header.result_int();
+    bool hasNotRun = header.count(names.notExecuted) || status == 421;
+    // A stage of a chain refuses when it is lost, leaves or is short of memory. It is avoided like one that cannot be
+    // reached; taken for full, it would make everything wait that needs its layers.
+    auto kind = m_request.isModel ? FailureKind::ConnectFailed : FailureKind::Refused;
+    if (hasNotRun)
+        return { AttemptEnd::NotExecuted, faultOf(header), kind, "not executed" };
+    if (!isOwnAnswer(header))
+        return notOwnAnswer();
+    if (m_hasBegun)
+        return noContinuation();
+    http::response<http::string_body> answer;
+    answer.base() = forwardResponseHeader(header);
+    answer.body() = body;
+    answer.content_length(answer.body().size());
+    m_answer = std::move(answer);
+    bool isFailure = status >= 500 && mayRunAgain() && status != 504;
+    if (isFailure)
+        return { AttemptEnd::Failed, m_head.endpoint, FailureKind::BadToken, "endpoint error" };
+    return { AttemptEnd::Complete, {}, FailureKind::BadToken, "" };
+}
+
+void Exchange::noteEvent(Instant now)
+{
+    if (m_firstEventAt) {
+        m_longestGap = std::max(m_longestGap, now - m_eventAt);
+        m_context.metrics.observe(daemon::Distribution::TokenGap, now - m_eventAt);
+    } else {
+        m_firstEventAt = now;
+        m_context.metrics.observe(daemon::Distribution::FirstToken, now - m_request.arrivedAt);
+    }
+    m_eventAt = now;
+}
+
+net::awaitable<bool> Exchange::sendEvents(
+    const http::response_header<>& header, const std::string& events, uint32_t attempt)
+{
+    if (!m_hasBegun) {
+        m_hasBegun = true;
+        m_context.postInput(FirstToken { m_request.id, attempt });
+        auto forwarded = forwardResponseHeader(header);
+        bool isReached = co_await m_sink.beginParts(std::move(forwarded));
+        if (!isReached)
+            co_return false;
+    }
+    if (events.empty())
+        co_return true;
+    co_return co_await m_sink.sendPart(events);
+}
+
+// Passes whole events on as they come. The caller has received nothing of an event that breaks off, so that the stream
+// can be continued after the last whole one.
+net::awaitable<Exchange::AttemptResult> Exchange::relayStream(
+    EndpointConnection& connection, Parser& parser, uint32_t attempt)
+{
+    const auto header = parser.get().base();
+    if (!isOwnAnswer(header))
+        co_return notOwnAnswer();
+    std::string events;
+    while (!parser.is_done()) {
+        if (isInterrupted(connection))
+            co_return setAside();
+        auto bytes = co_await readSome(connection, parser);
+        if (!bytes && isInterrupted(connection))
+            co_return setAside();
+        if (!bytes)
+            co_return broken("stream broke off");
+        if (bytes->empty())
+            continue;
+        events.clear();
+        if (!m_events.feed(*bytes, events))
+            co_return broken("event too long");
+        if (events.empty())
+            continue;
+        // Bytes that end no event are no progress: the caller sees none either.
+        m_progressAt = m_context.clock.now();
+        noteEvent(m_progressAt);
+        m_standby.reset();
+        if (m_isReturning) {
+            m_isReturning = false;
+            m_movedFrom.reset();
+        }
+        bool isReached = co_await sendEvents(header, events, attempt);
+        if (!isReached) {
+            m_isCallerGone = true;
+            co_return broken("caller");
+        }
+    }
+    if (m_events.isInsideEvent())
+        co_return broken("stream ended inside an event");
+    events.clear();
+    bool isReached = co_await sendEvents(header, events, attempt);
+    if (!isReached)
+        m_isCallerGone = true;
+    co_return isReached ? AttemptResult { AttemptEnd::Complete, {}, FailureKind::BadToken, "" } : broken("caller");
+}
+
+} // namespace jacinthspindle::router
--- a/src/router/Headers.h
+++ b/src/router/Headers.h
@@ -26,6 +26,11 @@
 // that is not such a number, and without the header.
 std::optional<Duration> retryAfterOf(const http::response_header<>&);
 
+inline bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
 // Copies status and headers of an endpoint's answer, except those that concern one connection.
 http::response_header<> forwardResponseHeader(const http::response_header<>&);
 
