Keep no connection after an endpoint's own refusal

What callers saw: 429 or 503 for a request that an endpoint ran (REFUSED), when the endpoint had refused the attempt before in its own name and wrote that refusal once more on the kept connection.

A signed refusal is a complete answer, and its connection was kept.

--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -121,8 +121,8 @@
     }
     // A refusal or a failure that the endpoint writes once more could answer the same request when it is repeated.
     bool isReusable = result.end == AttemptEnd::Complete && open.parser && open.parser->is_done()
-        && open.parser->keep_alive() && !isForeign && !open.connection->buffer.size() && !m_isCallerGone
-        && !m_movedFrom;
+        && isSuccess(open.parser->get().result_int()) && open.parser->keep_alive() && !isForeign
+        && !open.connection->buffer.size() && !m_isCallerGone && !m_movedFrom;
     if (isReusable)
         m_context.pool.giveBack(std::move(open.connection), idleLimitOf(open.parser->get().base()));
 }
--- a/test/router/AnswerIntegrityTest.cpp
+++ b/test/router/AnswerIntegrityTest.cpp
@@ -30,8 +30,11 @@
 // request on the same connection.
 class RepeatingServer {
 public:
-    RepeatingServer()
-        : m_socket(listenOnLoopback(m_name))
+    // status and head: of the refusal, beside its identity.
+    explicit RepeatingServer(std::string status = "503 Service Unavailable", std::string head = "X-Not-Executed: 1\r\n")
+        : m_status(std::move(status))
+        , m_head(std::move(head))
+        , m_socket(listenOnLoopback(m_name))
     {
         listen(m_socket, 16);
         m_thread = std::thread([this] { accept(); });
@@ -81,8 +84,7 @@
                 continue;
             std::string answer;
             if (!m_hasRefused.exchange(true))
-                answer = refusal
-                    = httpAnswer("503 Service Unavailable", "", identityOf(bytes) + "X-Not-Executed: 1\r\n");
+                answer = refusal = httpAnswer(m_status, "", identityOf(bytes) + m_head);
             else {
                 ++m_run;
                 answer = refusal + wholeStream(bytes);
@@ -92,6 +94,8 @@
         }
     }
 
+    const std::string m_status;
+    const std::string m_head;
     sockaddr_in m_name {};
     int m_socket;
     std::list<std::thread> m_connections; // Grows in m_thread only.
@@ -146,6 +150,24 @@
     CHECK(answer.ends_with("0\r\n\r\n"));
 }
 
+// REFUSED: a refusal in the endpoint's own name was delivered, and its connection kept.
+TEST_CASE("an endpoint's own refusal that is written once more does not answer the repeated request")
+{
+    for (const char* status : { "429 Too Many Requests", "503 Service Unavailable" }) {
+        for (const char* path : { "/loans/7", "/cards/7" }) {
+            CAPTURE(status);
+            CAPTURE(path);
+            RepeatingServer server(status, "");
+            RouterFixture router;
+            router.start({ endpointAt("c1", "catalogue", server.address()) });
+            router.send(requestText("POST", path, "r1", "question"));
+            auto answer = router.send(requestText("POST", path, "r1", "question"));
+            bool isRefused = statusOf(answer) == 429 || statusOf(answer) == 503;
+            CHECK_FALSE((isRefused && server.run()));
+        }
+    }
+}
+
 // MIXED and ORDER: an endpoint stops in the middle of its answer's head.
 TEST_CASE("an answer whose head is cut anywhere becomes no success")
 {
