Pass over interim answers that name the request

What callers saw: an answer 100 or 103 in place of the endpoint's final one (MIXED), while the request ran. Cause: any head with the request's id was taken for its answer. Interim answers now count among the three heads that are passed over at most.

Evidence: "an interim answer of an endpoint is passed over" got 100 and 103 where it expected 200; passes.

--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -178,7 +178,8 @@
         if (ec)
             co_return false;
         noteEndpoint(parser->get().base());
-        if (parser->get()[m_context.settings.headers.requestId] == m_request.wireId)
+        bool isFinal = http::to_status_class(parser->get().result_int()) != http::status_class::informational;
+        if (isFinal && parser->get()[m_context.settings.headers.requestId] == m_request.wireId)
             co_return true;
         isForeign = true;
         note("foreign-answer", { { "endpoint", m_head.endpoint.value() } });
--- a/test/router/AnswerIntegrityTest.cpp
+++ b/test/router/AnswerIntegrityTest.cpp
@@ -168,6 +168,26 @@
     }
 }
 
+// MIXED: an interim answer that names the request was delivered as its final one.
+TEST_CASE("an interim answer of an endpoint is passed over")
+{
+    for (const char* interim : { "100 Continue", "103 Early Hints" }) {
+        for (bool hasIdentity : { false, true }) {
+            CAPTURE(interim);
+            CAPTURE(hasIdentity);
+            ScriptedServer server([&](const std::string& request) {
+                return std::string("HTTP/1.1 ") + interim + "\r\n" + (hasIdentity ? identityOf(request) : std::string())
+                    + "\r\n" + httpAnswer("200 OK", "booked", identityOf(request));
+            });
+            RouterFixture router;
+            router.start({ endpointAt("c1", "catalogue", server.address()) });
+            auto answer = router.send(requestText("POST", "/loans/7", "r1", "flags"));
+            CHECK(statusOf(answer) == 200);
+            CHECK(answer.ends_with("booked"));
+        }
+    }
+}
+
 // MIXED and ORDER: an endpoint stops in the middle of its answer's head.
 TEST_CASE("an answer whose head is cut anywhere becomes no success")
 {
