Continue a begun stream only where its place is known

What callers saw: events of two runs in one stream (ORDER), where the events have no identifiers or the route's streams may not be resumed.

Cause: the same class as an answer that is no stream: another run was joined without asking whether it continues what the caller has. Now a begun stream is repeated only on a route whose streams may be resumed, behind an event that names its place.

Evidence: both new cases of AnswerIntegrityTest ran the request twice (expected once); pass.

--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -284,6 +284,10 @@
 {
     if (m_isPassingThrough)
         return "part of the answer is sent";
+    // Another run is joined to what the caller has only behind an event that names its place.
+    bool isContinuable = m_request.route.repeatability == Repeatability::ResumableStream && m_events.lastId();
+    if (m_hasBegun && !isContinuable)
+        return "cannot be continued";
     if (timeLeft() <= Duration::zero() || result.end == AttemptEnd::TimedOut)
         return "deadline";
     if (result.end == AttemptEnd::OutOfAttempts)
--- a/test/router/AnswerIntegrityTest.cpp
+++ b/test/router/AnswerIntegrityTest.cpp
@@ -188,6 +188,32 @@
     }
 }
 
+// ORDER: a second run was joined to events that have no place in the stream.
+TEST_CASE("a begun stream whose events name no place is not joined with a second run")
+{
+    auto engine = [](const std::string& request) { return streamHead(request) + chunk("data: a\n\n"); };
+    ScriptedServer first(engine);
+    ScriptedServer second(engine);
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", first.address()), endpointAt("e2", "assistant", second.address()) });
+    auto answer = router.send(requestText("POST", "/ask/1", "r1", "question"));
+    CHECK(answer.substr(answer.find("\r\n\r\n") + 4) == chunk("data: a\n\n"));
+    CHECK(first.connections() + second.connections() == 1);
+}
+
+// ORDER: events of two runs were joined on a route whose streams may not be resumed.
+TEST_CASE("a begun stream of a route without resumption is not joined with a second run")
+{
+    auto engine = [](const std::string& request) { return streamHead(request) + chunk(PausingEngine::event(1)); };
+    ScriptedServer first(engine);
+    ScriptedServer second(engine);
+    RouterFixture router;
+    router.start({ endpointAt("c1", "catalogue", first.address()), endpointAt("c2", "catalogue", second.address()) });
+    auto answer = router.send(requestText("POST", "/cards/1", "r1", "question"));
+    CHECK(answer.substr(answer.find("\r\n\r\n") + 4) == chunk(PausingEngine::event(1)));
+    CHECK(first.connections() + second.connections() == 1);
+}
+
 // MIXED and ORDER: an endpoint stops in the middle of its answer's head.
 TEST_CASE("an answer whose head is cut anywhere becomes no success")
 {
