Reset the connection of a caller without chunks when its answer is cut

What callers saw: with HTTP/1.0, a cut stream that looks whole (MIXED): without chunks the end of the connection is the end of the answer.

Evidence: "a cut stream ends with a reset for a caller that knows no chunks" saw an orderly end (0, expected ECONNRESET); passes.

--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -83,18 +83,25 @@
 net::awaitable<void> ClientSession::run()
 {
     auto self = shared_from_this();
+    bool isReset = false;
     while (co_await awaitFirstByte()) {
         auto request = co_await readRequest();
         if (!request)
             break;
         bool isAnswered = co_await serve(std::move(*request));
-        if (!isAnswered)
+        if (!isAnswered) {
+            // Without chunks, an orderly end of the connection would look like that of a whole answer.
+            isReset = m_isOldVersion;
             break;
+        }
         if (m_wantsClose || (m_traffic.isDraining() && !m_buffer.size()))
             break;
     }
     ErrorCode ignored;
-    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    if (isReset)
+        m_stream.socket().set_option(net::socket_base::linger(true, 0), ignored);
+    else
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_stream.close();
     m_traffic.leave(self);
 }
--- a/test/router/AnswerIntegrityTest.cpp
+++ b/test/router/AnswerIntegrityTest.cpp
@@ -26,6 +26,19 @@
     return streamHead(request) + chunk(PausingEngine::event(1)) + "0\r\n\r\n";
 }
 
+// Sends bytes and reads what comes back; returns the error that ended the connection, 0 for an orderly end.
+int endOf(const std::string& address, const std::string& bytes)
+{
+    router::net::io_context io(1);
+    router::tcp::socket socket(io);
+    socket.connect(*router::parseAddress(address));
+    router::net::write(socket, router::net::buffer(bytes));
+    router::ErrorCode ec;
+    std::string received;
+    router::net::read(socket, router::net::dynamic_buffer(received), ec);
+    return ec == router::net::error::eof ? 0 : ec.value();
+}
+
 // Keeps its connections: refuses the first request, and writes that refusal once more before the answer to a later
 // request on the same connection.
 class RepeatingServer {
@@ -214,6 +227,18 @@
     CHECK(first.connections() + second.connections() == 1);
 }
 
+// MIXED: a caller without chunks took the end of a cut stream for that of a whole one.
+TEST_CASE("a cut stream ends with a reset for a caller that knows no chunks")
+{
+    auto engine = [](const std::string& request) { return streamHead(request) + chunk(PausingEngine::event(1)); };
+    ScriptedServer server(engine);
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", server.address()) });
+    auto text = requestText("POST", "/ask/1", "r1", "question");
+    text.replace(text.find("HTTP/1.1"), 8, "HTTP/1.0");
+    CHECK(endOf(router.routerSettings().frontAddress, text) == ECONNRESET);
+}
+
 // MIXED and ORDER: an endpoint stops in the middle of its answer's head.
 TEST_CASE("an answer whose head is cut anywhere becomes no success")
 {
