Leave a silent engine only for another attempt in jacinthspindled

Cause: ModelStream ended an attempt at the stall limit and asked the decision core afterwards. When the retry budget or the attempts of the request were used up, the core could only abandon the request.

Now ModelEngine::run asks a handler at the stall limit and reads on meanwhile. The handler posts AttemptStalled, which the core answers only with another attempt; the engine is left when that dispatch has come, or at the request's deadline. Bytes that arrived while the process was held up are read before silence is reported. When the stream ends after the core was asked, the request is also reported as gone, because the core ignores the end of an attempt that it has replaced.

The silence is counted and not waited for.

The tests of the adapters pass no handler where they passed none before, so that they check the same as before.

--- a/include/spindleadapters/HttpEndpoints.h
+++ b/include/spindleadapters/HttpEndpoints.h
@@ -13,7 +13,7 @@
     // hop was made. Refused: the first hop answered with an HTTP error. StreamBroken and Stalled name the endpoint of
     // the fault line; without one, StreamBroken names the first hop and Stalled names none.
     GenerationEnd run(const GenerationCall&, const std::function<StreamControl(const TokenEvent&)>& onToken,
-        std::chrono::milliseconds stallLimit) override;
+        std::chrono::milliseconds stallLimit, const SilenceHandler& onSilence) override;
     bool cancel(const std::string& address, const RequestId&, uint32_t attempt, std::chrono::milliseconds) override;
     bool setPriority(const std::string& address, const RequestId&, uint32_t attempt, uint8_t priority,
         std::chrono::milliseconds) override;
--- a/include/spindlecore/Ports.h
+++ b/include/spindlecore/Ports.h
@@ -187,13 +187,16 @@
 
 enum class OrderOutcome : uint8_t { Accepted, RefusedFence, Failed, Unknown };
 
+// Asked when no token has arrived within the stall limit, and then at short intervals until one arrives.
+using SilenceHandler = std::function<StreamControl()>;
+
 class ModelEngine {
 public:
     virtual ~ModelEngine() = default;
-    // Runs a chain and calls onToken on the calling thread for each token until the stream ends. The call ends as
-    // Stalled when no token arrives within stallLimit.
+    // Runs a chain and calls onToken on the calling thread for each token until the stream ends. When no token arrives
+    // within stallLimit, onSilence decides on the same thread: the call ends as Stalled on Stop, or without a handler.
     virtual GenerationEnd run(const GenerationCall&, const std::function<StreamControl(const TokenEvent&)>& onToken,
-        std::chrono::milliseconds stallLimit)
+        std::chrono::milliseconds stallLimit, const SilenceHandler& onSilence)
         = 0;
     virtual bool cancel(const std::string& address, const RequestId&, uint32_t attempt, std::chrono::milliseconds) = 0;
     virtual bool setPriority(
--- a/src/adapters/HttpEndpoints.cpp
+++ b/src/adapters/HttpEndpoints.cpp
@@ -156,8 +156,9 @@
 
 } // namespace
 
-GenerationEnd HttpModelEngine::run(
-    const GenerationCall& call, const std::function<StreamControl(const TokenEvent&)>& onToken, milliseconds stallLimit)
+GenerationEnd HttpModelEngine::run(const GenerationCall& call,
+    const std::function<StreamControl(const TokenEvent&)>& onToken, milliseconds stallLimit,
+    const SilenceHandler& onSilence)
 {
     if (call.chain.empty())
         return { GenerationOutcome::ConnectFailed, {}, "the chain is empty" };
@@ -171,6 +172,8 @@
     http.contentType = jsonType;
     http.body = std::move(*body);
     http.timeout = stallLimit;
+    if (onSilence)
+        http.mayGoOn = [&onSilence] { return onSilence() == StreamControl::Continue; };
     LineReader reader(call, onToken);
     auto answer = exchange(http, [&](std::string_view bytes) { return reader.take(bytes); });
     return endOf(call, reader, answer);
--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -34,6 +34,8 @@
     // keep idle connections for 2 s and more.
     constexpr milliseconds maxIdle { 1000 };
     constexpr size_t maxIdleConnections = 256;
+    // Small against the second within which a stream is to go on elsewhere.
+    constexpr milliseconds silenceStep { 20 };
     constexpr size_t errorTextLimit = 4096;
     constexpr size_t readBytes = size_t { 16 } << 10;
 
@@ -80,6 +82,16 @@
         // The moment at which the running operation is ended.
         void setDeadline(Monotonic::time_point at) { m_stream.expires_at(at); }
 
+        // Instead of a deadline: from then on mayGoOn is asked until it returns false, which ends the operation.
+        void watch(Monotonic::time_point at, const std::function<bool()>& mayGoOn)
+        {
+            m_stream.expires_never();
+            m_silentAt = at;
+            m_mayGoOn = &mayGoOn;
+        }
+        void unwatch() { m_mayGoOn = nullptr; }
+        bool isLeft() const { return m_isLeft; }
+
         ErrorCode connect(const tcp::endpoint& target)
         {
             auto ec = run([&](auto done) { m_stream.async_connect(target, std::move(done)); });
@@ -133,6 +145,17 @@
             ErrorCode result = net::error::operation_aborted;
             start([&result](const ErrorCode& ec) { result = ec; });
             m_io.restart();
+            while (m_mayGoOn && !m_isLeft) {
+                m_io.run_until(m_silentAt);
+                // Bytes that arrived while this process was held up are no silence.
+                m_io.poll();
+                if (m_io.stopped())
+                    return result;
+                m_isLeft = !(*m_mayGoOn)();
+                m_silentAt = Monotonic::now() + silenceStep;
+            }
+            if (m_isLeft)
+                m_stream.cancel();
             m_io.run();
             return result;
         }
@@ -140,6 +163,9 @@
         net::io_context m_io { 1 };
         beast::tcp_stream m_stream { m_io };
         beast::flat_buffer m_buffer;
+        Monotonic::time_point m_silentAt {};
+        const std::function<bool()>* m_mayGoOn = nullptr;
+        bool m_isLeft = false;
     };
 
     // Idle connections of the whole process, oldest first.
@@ -255,6 +281,8 @@
                 return std::move(m_answer);
             }
             m_answer.delivery = Delivery::Broken;
+            if (isWatched())
+                m_connection.watch(m_deadline, m_call.mayGoOn);
             auto request = makeRequest(m_call);
             ec = m_connection.write(request);
             // A server may answer before it has read the whole request; the answer then still lies in the socket.
@@ -263,6 +291,7 @@
             if (!ec)
                 ec = readBody();
             end(ec);
+            m_connection.unwatch();
             return std::move(m_answer);
         }
 
@@ -273,11 +302,18 @@
         void extend(milliseconds timeout)
         {
             m_deadline = Monotonic::now() + timeout;
-            m_connection.setDeadline(m_deadline);
+            if (m_isStreamed && isWatched())
+                m_connection.watch(m_deadline, m_call.mayGoOn);
+            else
+                m_connection.setDeadline(m_deadline);
         }
 
+        bool isWatched() const { return m_reader && m_call.mayGoOn; }
+
         bool isTimeout(const ErrorCode& ec) const
         {
+            if (isWatched() && m_answer.delivery != Delivery::NotSent)
+                return m_connection.isLeft();
             return ec && (ec == beast::error::timeout || Monotonic::now() >= m_deadline);
         }
 
@@ -295,7 +331,10 @@
             for (const auto& it : m_parser->get())
                 m_answer.headers.emplace_back(it.name_string(), it.value());
             m_isStreamed = m_reader && m_answer.status == 200;
-            if (m_isStreamed)
+            // Only a stream may be worth waiting for.
+            if (!m_isStreamed)
+                m_connection.unwatch();
+            if (m_isStreamed || isWatched())
                 extend(m_call.timeout);
             return ec;
         }
--- a/src/adapters/HttpExchange.h
+++ b/src/adapters/HttpExchange.h
@@ -27,6 +27,9 @@
     std::string body;
     // For the whole exchange; with a reader, for each wait between two steps of progress.
     std::chrono::milliseconds timeout {};
+    // With a reader: asked once the server has been silent for the timeout, and then at short intervals. The exchange
+    // is ended when it returns false. Empty: the exchange is ended at the timeout.
+    std::function<bool()> mayGoOn;
     // The call may run twice: it may use a kept connection, and is sent again when that one ends before the answer.
     bool isIdempotent = false;
     size_t answerLimit = 64 << 20; // Bytes of the answer's body; unused with a reader.
--- a/src/daemon/Mailbox.h
+++ b/src/daemon/Mailbox.h
@@ -42,6 +42,13 @@
         return delivery;
     }
 
+    // A decision waits to be taken.
+    bool hasDelivery() const
+    {
+        std::lock_guard lock(m_mutex);
+        return !m_deliveries.empty();
+    }
+
     // An Abandon has been delivered: the running attempt is to be stopped.
     bool isEnded() const
     {
--- a/src/daemon/ModelStream.cpp
+++ b/src/daemon/ModelStream.cpp
@@ -162,8 +162,10 @@
 {
     m_hasFirstToken = false;
     m_stop = Stop::None;
+    m_nextAsk = {};
     auto end = m_context.engine.run(
-        generationCall(), [&](const TokenEvent& event) { return onToken(event, consumer); }, stallLimit());
+        generationCall(), [&](const TokenEvent& event) { return onToken(event, consumer); }, stallLimit(),
+        [&] { return onSilence(); });
     switch (m_stop) {
     case Stop::CallerGone:
         cancelAttempt();
@@ -178,6 +180,9 @@
     case Stop::BadToken:
         cancelAttempt();
         return m_admission->retry(end.endpoint, FailureKind::BadToken, m_validator->nextPosition(), true);
+    case Stop::Moved:
+        cancelAttempt();
+        return m_admission->move();
     case Stop::None:
         break;
     }
@@ -198,7 +203,34 @@
     m_context.signals.cancel(dispatch.chain, m_admission->table(), m_request, dispatch.attempt);
 }
 
+// An engine that is silent may be alive: it is left only for another attempt, or at the request's deadline.
+StreamControl ModelStream::onSilence()
+{
+    if (m_admission->isMoved()) {
+        m_stop = Stop::Moved;
+        return StreamControl::Stop;
+    }
+    if (m_admission->remaining() <= Duration::zero())
+        return StreamControl::Stop;
+    auto now = m_context.clock.now();
+    if (now >= m_nextAsk) {
+        // What was refused may be permitted later: the retry budget is refilled.
+        m_nextAsk = now + stallLimit();
+        m_admission->reportSilence(m_validator->nextPosition());
+    }
+    return StreamControl::Continue;
+}
+
 StreamControl ModelStream::onToken(const TokenEvent& event, const Consumer& consumer)
+{
+    auto control = takeToken(event, consumer);
+    if (control == StreamControl::Stop || m_validator->isComplete() || !m_admission->isMoved())
+        return control;
+    m_stop = Stop::Moved;
+    return StreamControl::Stop;
+}
+
+StreamControl ModelStream::takeToken(const TokenEvent& event, const Consumer& consumer)
 {
     auto output = m_validator->accept(event);
     if (std::holds_alternative<Dropped>(output)) {
--- a/src/daemon/ModelStream.h
+++ b/src/daemon/ModelStream.h
@@ -55,12 +55,14 @@
     const std::string& lastCursor() const { return m_lastCursor; }
 
 private:
-    enum class Stop : uint8_t { None, CallerGone, Ended, BadToken, PrefixMismatch };
+    enum class Stop : uint8_t { None, CallerGone, Ended, BadToken, PrefixMismatch, Moved };
 
     std::optional<RequestEnd> readCursor();
     std::optional<RequestEnd> expectAttempt();
     std::optional<RequestEnd> runAttempt(const Consumer&);
     StreamControl onToken(const TokenEvent&, const Consumer&);
+    StreamControl takeToken(const TokenEvent&, const Consumer&);
+    StreamControl onSilence();
     bool deliver(const TokenEvent&, const Consumer&);
     void reportProgress();
     GenerationCall generationCall() const;
@@ -90,6 +92,7 @@
     bool m_hasSentToken = false;
     uint32_t m_reportedPosition = 0;
     Instant m_lastTokenAt {};
+    Instant m_nextAsk {};
 };
 
 } // namespace jacinthspindle::daemon
--- a/src/daemon/TrafficPath.cpp
+++ b/src/daemon/TrafficPath.cpp
@@ -59,6 +59,21 @@
     return waitForDecision(limit);
 }
 
+void Admission::reportSilence(uint32_t position)
+{
+    // Which stage of a longer chain is silent is unknown.
+    const auto& chain = m_dispatch.chain;
+    auto silent = chain.size() == 1 ? chain.front().endpoint : EndpointId();
+    m_hasAsked = true;
+    m_context.control.post(AttemptStalled { m_arrival.request, m_dispatch.attempt, silent, position });
+}
+
+std::optional<RequestEnd> Admission::move()
+{
+    m_context.metrics.add(Counter::AttemptsFailed);
+    return waitForDecision(decisionReserve);
+}
+
 std::optional<RequestEnd> Admission::waitForDecision(Duration limit)
 {
     auto delivery = m_mailbox->wait(limit);
@@ -71,6 +86,7 @@
         m_dispatch = std::move(*dispatch);
         m_table = std::move(delivery->table);
         m_wasDispatched = true;
+        m_hasAsked = false;
         m_context.metrics.add(Counter::AttemptsStarted);
         return std::nullopt;
     }
@@ -87,6 +103,9 @@
         return;
     m_isOpen = false;
     m_context.control.post(RequestFinished { m_arrival.request, m_dispatch.attempt, tokens });
+    // The decision core may have dispatched another attempt meanwhile; it then ignores the end of this one.
+    if (m_hasAsked)
+        m_context.control.post(CallerGone { m_arrival.request });
     m_context.metrics.add(Counter::RequestsFinished);
 }
 
--- a/src/daemon/TrafficPath.h
+++ b/src/daemon/TrafficPath.h
@@ -55,6 +55,12 @@
     std::optional<RequestEnd> admit();
     // Reports that the current attempt failed and waits for the next decision, likewise.
     std::optional<RequestEnd> retry(const EndpointId& atFault, FailureKind, uint32_t position, bool mayRepeat);
+    // Reports that the current attempt is silent. It runs on, and another one is dispatched only if it is permitted.
+    void reportSilence(uint32_t position);
+    // Another attempt was dispatched in place of the silent one.
+    bool isMoved() const { return m_hasAsked && m_mailbox->hasDelivery(); }
+    // Takes that dispatch; likewise.
+    std::optional<RequestEnd> move();
     void finish(uint32_t tokens);
     // Ends the request without an answer.
     void giveUp();
@@ -82,6 +88,7 @@
     std::shared_ptr<const Table> m_table;
     bool m_isOpen = false; // The decision core knows the request and has not ended it.
     bool m_wasDispatched = false;
+    bool m_hasAsked = false; // Whether the current attempt may be replaced; a refusal is not answered.
 };
 
 } // namespace jacinthspindle::daemon
--- a/test/adapters/HttpEndpointsTest.cpp
+++ b/test/adapters/HttpEndpointsTest.cpp
@@ -47,8 +47,8 @@
     std::vector<TokenEvent> tokens;
 };
 
-RunResult runAgainst(
-    const ScriptedServer& server, std::chrono::milliseconds stallLimit = generous, size_t stopAfter = SIZE_MAX)
+RunResult runAgainst(const ScriptedServer& server, std::chrono::milliseconds stallLimit = generous,
+    size_t stopAfter = SIZE_MAX, const SilenceHandler& onSilence = nullptr)
 {
     RunResult result;
     HttpModelEngine engine;
@@ -58,7 +58,7 @@
             result.tokens.push_back(event);
             return result.tokens.size() >= stopAfter ? StreamControl::Stop : StreamControl::Continue;
         },
-        stallLimit);
+        stallLimit, onSilence);
     return result;
 }
 
@@ -201,6 +201,30 @@
     }
 }
 
+TEST_CASE("a silent engine is left when the handler says so, and a stream that goes on is read on")
+{
+    ScriptedServer silent("", AfterAnswer::Hold);
+    ScriptedServer oneToken(chunkedHead() + chunk(tokenLine(0)), AfterAnswer::Hold);
+    for (const auto* it : { &silent, &oneToken }) {
+        int asked = 0;
+        auto result = runAgainst(
+            *it, shortLimit, SIZE_MAX, [&] { return ++asked < 5 ? StreamControl::Continue : StreamControl::Stop; });
+        CHECK(result.end.outcome == GenerationOutcome::Stalled);
+        CHECK(asked == 5);
+    }
+    // The second token comes only after the handler was asked three times, however slow the machine is.
+    ScriptedServer server(chunkedHead() + chunk(tokenLine(0)), AfterAnswer::Hold);
+    int asked = 0;
+    auto result = runAgainst(server, shortLimit, SIZE_MAX, [&] {
+        if (++asked == 3)
+            server.goOn(chunk(tokenLine(1, true)) + endChunk);
+        return StreamControl::Continue;
+    });
+    CHECK(result.end.outcome == GenerationOutcome::Complete);
+    CHECK(result.tokens.size() == 2);
+    CHECK(asked >= 3);
+}
+
 TEST_CASE("a stream may last longer than the stall limit while tokens arrive")
 {
     // 12 tokens of 300 ms each, against a limit that leaves 2 s for the delays of a busy machine.
@@ -217,16 +241,16 @@
 {
     HttpModelEngine engine;
     auto onToken = [](const TokenEvent&) { return StreamControl::Continue; };
-    auto end = engine.run(sampleCall(test::closedAddress()), onToken, generous);
+    auto end = engine.run(sampleCall(test::closedAddress()), onToken, generous, nullptr);
     CHECK(end.outcome == GenerationOutcome::ConnectFailed);
     CHECK(end.endpoint == EndpointId("front"));
     CHECK(endAgainst(httpAnswer("503 Busy", "no slot")).outcome == GenerationOutcome::Refused);
     CHECK(endAgainst(httpAnswer("503 Busy", std::string(1 << 20, 'x'))).outcome == GenerationOutcome::Refused);
     auto call = sampleCall(test::closedAddress());
     call.prompt = "\xff";
-    CHECK(engine.run(call, onToken, generous).outcome == GenerationOutcome::Refused);
+    CHECK(engine.run(call, onToken, generous, nullptr).outcome == GenerationOutcome::Refused);
     call.chain.clear();
-    CHECK(engine.run(call, onToken, generous).outcome == GenerationOutcome::ConnectFailed);
+    CHECK(engine.run(call, onToken, generous, nullptr).outcome == GenerationOutcome::ConnectFailed);
 }
 
 TEST_CASE("a status is read as a whole or not at all")
--- a/test/adapters/HttpFrontTest.cpp
+++ b/test/adapters/HttpFrontTest.cpp
@@ -111,6 +111,71 @@
     CHECK(whole->get_header_value("Content-Type") == "application/problem+json");
 }
 
+// Guards against the incident 2026-12-04 in this daemon: the engine was left before another attempt was permitted.
+TEST_CASE_FIXTURE(DaemonFixture, "a stream is not cut for its engine's silence when no further attempt is permitted")
+{
+    control.post(RetryReserveChanged { 0 });
+    engine.silentAt = 2;
+    engine.silence = std::chrono::seconds(5);
+    engine.silences = 1;
+    auto result = client().Post(chatPath, schoolHeaders, chatBody(5, true), "application/json");
+    REQUIRE(result);
+    CHECK(textOf(result->body) == "t0 t1 t2 t3 t4 ");
+    CHECK(isWhole(result->body));
+    CHECK(result->body.find("event: error") == std::string::npos);
+}
+
+TEST_CASE("a stream goes on elsewhere when its engine stays silent and another attempt is permitted")
+{
+    DaemonFixture fixture(4, true);
+    fixture.engine.silentAt = 2;
+    fixture.engine.silence = std::chrono::hours(1);
+    fixture.engine.silences = 1;
+    auto client = fixture.client();
+    auto result = client.Post(chatPath, schoolHeaders, DaemonFixture::chatBody(5, true), "application/json");
+    REQUIRE(result);
+    CHECK(textOf(result->body) == "t0 t1 t2 t3 t4 ");
+    CHECK(isWhole(result->body));
+    CHECK(fixture.engine.runs == 2);
+    auto trace = client.Get("/trace");
+    REQUIRE(trace);
+    Reason reason;
+    auto records = decodeRecords(trace->body, reason);
+    REQUIRE_MESSAGE(records, reason.text);
+    CHECK_FALSE(replayRecords(*records).divergence);
+}
+
+TEST_CASE_FIXTURE(
+    DaemonFixture, "an engine that stays silent without another permitted attempt is left at the deadline")
+{
+    control.post(RetryReserveChanged { 0 });
+    engine.silentAt = 2;
+    engine.silence = std::chrono::hours(1);
+    engine.silences = 1;
+    auto headers = schoolHeaders;
+    headers.emplace("X-Deadline-Ms", "5000");
+    auto result = client().Post(chatPath, headers, chatBody(5, true), "application/json");
+    REQUIRE(result);
+    CHECK(textOf(result->body) == "t0 t1 ");
+    CHECK(result->body.find("event: error") != std::string::npos);
+    CHECK_FALSE(isWhole(result->body));
+    CHECK(engine.runs == 1);
+}
+
+TEST_CASE_FIXTURE(DaemonFixture, "no slot stays taken when a stream ends just after another attempt was asked for")
+{
+    // The core dispatches an attempt that nobody starts. More streams than the route has slots.
+    engine.silentAt = 4;
+    engine.silence = std::chrono::milliseconds(820);
+    for (int i = 0; i < 12; ++i) {
+        engine.silences = 1;
+        auto result = client().Post(chatPath, schoolHeaders, chatBody(5, true), "application/json");
+        REQUIRE(result);
+        CHECK(textOf(result->body) == "t0 t1 t2 t3 t4 ");
+        CHECK(isWhole(result->body));
+    }
+}
+
 TEST_CASE_FIXTURE(DaemonFixture, "a stream resumed at each of its events gives exactly the rest")
 {
     auto full = client().Post(chatPath, schoolHeaders, chatBody(4, true), "application/json");
--- a/test/support/DaemonFixture.h
+++ b/test/support/DaemonFixture.h
@@ -19,7 +19,7 @@
 class ScriptedEngine final : public ModelEngine {
 public:
     GenerationEnd run(const GenerationCall& call, const std::function<StreamControl(const TokenEvent&)>& onToken,
-        std::chrono::milliseconds) override
+        std::chrono::milliseconds stallLimit, const SilenceHandler& onSilence) override
     {
         ++runs;
         for (uint32_t i = call.firstPosition; i < call.maxTokens; ++i) {
@@ -28,6 +28,14 @@
                 --breaks;
                 return { GenerationOutcome::StreamBroken, call.chain.back().stage.endpoint, {} };
             }
+            if (i == silentAt && silences > 0) {
+                --silences;
+                for (auto passed = stallLimit; passed < silence.load(); passed += silenceStep) {
+                    if (!onSilence || onSilence() == StreamControl::Stop)
+                        return { GenerationOutcome::Stalled, {}, {} };
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                }
+            }
             TokenEvent event { call.request, call.attempt, i, "t" + std::to_string(i) + (otherText ? "x " : " "),
                 i + 1 == call.maxTokens, {} };
             for (const auto& it : call.chain)
@@ -59,8 +67,14 @@
     std::atomic<int> breaks { 0 }; // Attempts that break at breakAt.
     std::atomic<uint32_t> breakAt { 0 };
     std::atomic<bool> otherText { false };
+    std::atomic<int> silences { 0 }; // Attempts that are silent before silentAt and then go on.
+    std::atomic<uint32_t> silentAt { 0 };
+    // Counted in steps, not waited for, so that no verdict depends on the machine's speed.
+    std::atomic<std::chrono::milliseconds> silence { std::chrono::milliseconds(0) };
 
 private:
+    static constexpr std::chrono::milliseconds silenceStep { 20 };
+
     void waitWhileHeld()
     {
         std::unique_lock lock(m_mutex);
--- a/test/support/ScriptedServer.h
+++ b/test/support/ScriptedServer.h
@@ -81,6 +81,12 @@
     uint32_t connections() const { return m_connections; }
     // Connections that have ended, by either side.
     uint32_t ended() const { return m_ended; }
+    // Sends more bytes on the connection that is held, or on the next one.
+    void goOn(const std::string& bytes)
+    {
+        std::lock_guard lock(m_mutex);
+        m_more += bytes;
+    }
     std::string lastRequest() const
     {
         std::lock_guard lock(m_mutex);
@@ -105,7 +111,8 @@
             ++m_connections;
             if (readRequest(socket))
                 sendAnswer(socket);
-            while (m_after == AfterAnswer::Hold && !m_isStopping && !isReadable(socket)) { }
+            while (m_after == AfterAnswer::Hold && !m_isStopping && !isReadable(socket))
+                sendMore(socket);
             if (m_after == AfterAnswer::Reset) {
                 linger abort { 1, 0 };
                 setsockopt(socket, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
@@ -157,6 +164,14 @@
         }
     }
 
+    void sendMore(int socket)
+    {
+        std::lock_guard lock(m_mutex);
+        if (!m_more.empty())
+            send(socket, m_more.data(), m_more.size(), MSG_NOSIGNAL);
+        m_more.clear();
+    }
+
     std::string m_answer; // Written by the serving thread only.
     std::function<std::string(const std::string&)> m_answerTo;
     const AfterAnswer m_after;
@@ -166,6 +181,7 @@
     int m_socket;
     mutable std::mutex m_mutex;
     std::string m_request;
+    std::string m_more;
     std::atomic<uint32_t> m_connections { 0 };
     std::atomic<uint32_t> m_ended { 0 };
     std::atomic<bool> m_isStopping { false };
