Test that a begun stream never carries the text of an engine's error

Operators reported of this daemon that callers saw the text of another engine's error inside a token event after a stream had broken off. The case plays a stream that breaks off after two tokens, with next engines that refuse with a text, end without a token, break off or cannot be reached. The caller gets the two tokens, then an event: error as the last event, and no [DONE].

The case runs over an engine in memory; HttpModelEngine is not part of it.

--- a/test/adapters/HttpFrontTest.cpp
+++ b/test/adapters/HttpFrontTest.cpp
@@ -176,6 +176,35 @@
     }
 }
 
+// Guards against a report of other operators: a begun stream was continued with the text of another engine's error.
+TEST_CASE("a begun stream that no engine continues ends with a numbered error and never with an engine's own text")
+{
+    const EndpointId next("front-b");
+    const GenerationEnd ends[] = { { GenerationOutcome::Refused, next, "status 503: {\"error\":\"no slot\"}" },
+        { GenerationOutcome::Complete, {}, {} }, { GenerationOutcome::StreamBroken, next, "no slot" },
+        { GenerationOutcome::ConnectFailed, next, "no slot" } };
+    for (const auto& it : ends) {
+        CAPTURE(static_cast<int>(it.outcome));
+        DaemonFixture fixture;
+        fixture.engine.breakAt = 2;
+        fixture.engine.breaks = 1;
+        fixture.engine.laterRuns = it;
+        auto result
+            = fixture.client().Post(chatPath, schoolHeaders, DaemonFixture::chatBody(5, true), "application/json");
+        REQUIRE(result);
+        CHECK(fixture.engine.runs > 1);
+        CHECK(result->status == 200);
+        CHECK(textOf(result->body) == "t0 t1 ");
+        CHECK(result->body.find("no slot") == std::string::npos);
+        CHECK(result->body.find("[DONE]") == std::string::npos);
+        auto error = result->body.find("event: error");
+        REQUIRE(error != std::string::npos);
+        // Two tokens, and the error as the last event.
+        CHECK(eventIds(result->body).size() == 3);
+        CHECK(result->body.find("\n\n", error) == result->body.size() - 2);
+    }
+}
+
 TEST_CASE_FIXTURE(DaemonFixture, "a stream resumed at each of its events gives exactly the rest")
 {
     auto full = client().Post(chatPath, schoolHeaders, chatBody(4, true), "application/json");
--- a/test/support/DaemonFixture.h
+++ b/test/support/DaemonFixture.h
@@ -21,7 +21,8 @@
     GenerationEnd run(const GenerationCall& call, const std::function<StreamControl(const TokenEvent&)>& onToken,
         std::chrono::milliseconds stallLimit, const SilenceHandler& onSilence) override
     {
-        ++runs;
+        if (++runs > 1 && laterRuns)
+            return *laterRuns;
         for (uint32_t i = call.firstPosition; i < call.maxTokens; ++i) {
             waitWhileHeld();
             if (breaks > 0 && i == breakAt) {
@@ -67,6 +68,7 @@
     std::atomic<int> breaks { 0 }; // Attempts that break at breakAt.
     std::atomic<uint32_t> breakAt { 0 };
     std::atomic<bool> otherText { false };
+    std::optional<GenerationEnd> laterRuns; // What each run but the first returns at once; set before any request.
     std::atomic<int> silences { 0 }; // Attempts that are silent before silentAt and then go on.
     std::atomic<uint32_t> silentAt { 0 };
     // Counted in steps, not waited for, so that no verdict depends on the machine's speed.
