--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -327,7 +327,7 @@
             } while (!ec && http::to_status_class(m_parser->get().result()) == http::status_class::informational);
             if (ec)
                 return ec;
-            m_answer.status = m_parser->get().result_int();
+            m_answer.status = static_cast<int>(m_parser->get().result_int());
             for (const auto& it : m_parser->get())
                 m_answer.headers.emplace_back(it.name_string(), it.value());
             m_isStreamed = m_reader && m_answer.status == 200;
