Leave the silence of a next stage to the stand-in of an engine

The stand-in relays to the next stage with a stall limit and no handler: as before, it ends the stream with a line that names the stage.

--- a/src/standins/EngineStandin.cpp
+++ b/src/standins/EngineStandin.cpp
@@ -162,7 +162,7 @@
             isCallerGone = !deliver(stream, event);
             return isCallerGone ? StreamControl::Stop : StreamControl::Continue;
         },
-        lastStageStallLimit + stallLimitPerStage * rest.chain.size());
+        lastStageStallLimit + stallLimitPerStage * rest.chain.size(), nullptr);
     if (end.outcome == GenerationOutcome::Complete)
         return true;
     if (isCallerGone || m_server.isDown())
