Judge processes and refusals in the fleet's tests

Remarks of the review: the judge said nothing when the endpoints' counts could not be read, accepted refusals in any number, and started daemons again that had ended by themselves or too late after SIGTERM.

--- a/test/fleet/Fleet.cpp
+++ b/test/fleet/Fleet.cpp
@@ -31,6 +31,7 @@
     constexpr milliseconds callTimeout { 1000 };
     constexpr milliseconds graceTime { 8000 }; // From SIGTERM to SIGKILL.
     constexpr size_t shownLines = 12;
+    constexpr int permittedExcesses = 3; // Requests of a run, by the platform's rules.
     const std::string binaries = JACINTHSPINDLE_BINARY_DIR;
 
     const char* environment(const char* name)
@@ -238,6 +239,7 @@
     entry.process = std::make_unique<e2e::Process>(
         std::vector<std::string> { daemonProgram(), "--settings", entry.settings }, entry.log);
     entry.isStopping = false;
+    entry.startedAt = Steady::now();
 }
 
 bool Fleet::isReady(const Daemon& daemon) const
@@ -276,7 +278,10 @@
 
 void Fleet::suspendDaemon(size_t daemon, bool isSuspended)
 {
-    m_daemons[daemon].process->signal(isSuspended ? SIGSTOP : SIGCONT);
+    auto& entry = m_daemons[daemon];
+    if (isSuspended)
+        entry.suspendedAt.push_back(Steady::now());
+    entry.process->signal(isSuspended ? SIGSTOP : SIGCONT);
 }
 
 void Fleet::stopDaemon(size_t daemon)
@@ -301,19 +306,36 @@
         writeEndpoints();
     for (size_t i = 0; i < m_daemons.size(); ++i) {
         auto& entry = m_daemons[i];
+        auto isSince = [](const std::vector<Steady::time_point>& moments, Steady::time_point since) {
+            return !moments.empty() && moments.back() >= since;
+        };
         if (!entry.process->isRunning()) {
+            if (!entry.isStopping && !isSince(entry.killedAt, entry.startedAt))
+                m_broken.push_back("a daemon ended by itself: " + entry.log);
             startDaemon(i);
-        } else if (entry.isStopping && Steady::now() - entry.stoppedAt.back() > graceTime
-            && (entry.killedAt.empty() || entry.killedAt.back() < entry.stoppedAt.back())) {
-            killDaemon(i);
+            continue;
         }
+        if (!entry.isStopping || Steady::now() - entry.stoppedAt.back() <= graceTime
+            || isSince(entry.killedAt, entry.stoppedAt.back()))
+            continue;
+        // A suspended process cannot end.
+        bool wasSuspended = isSince(entry.suspendedAt, entry.stoppedAt.back() - longestSuspension);
+        if (!wasSuspended)
+            m_broken.push_back("a daemon did not end within the time from SIGTERM to SIGKILL: " + entry.log);
+        killDaemon(i);
     }
 }
 
-std::map<std::string, uint32_t> Fleet::runs() const
+std::optional<std::map<std::string, uint32_t>> Fleet::runs() const
 {
-    auto text = fetch(m_actionAddress, runsPath);
-    return text ? Json::parse(*text).get<std::map<std::string, uint32_t>>() : std::map<std::string, uint32_t>();
+    std::optional<std::string> text;
+    e2e::waitFor([&] {
+        text = fetch(m_actionAddress, runsPath);
+        return text.has_value();
+    });
+    if (!text)
+        return std::nullopt;
+    return Json::parse(*text).get<std::map<std::string, uint32_t>>();
 }
 
 const char* Fleet::brokenBy(const Outcome& outcome, uint32_t runs) const
@@ -359,11 +381,20 @@
     auto outcomes = m_callers->finish();
     auto begun = runs();
     std::map<std::string, size_t> counts;
-    std::vector<std::string> broken;
+    auto broken = m_broken;
+    m_requests = outcomes.size();
+    if (!begun) {
+        broken.push_back("the endpoints do not tell which requests they ran");
+        return broken;
+    }
+    constexpr uint32_t maxAttempts = 2;
+    auto isExcess = [](const auto& it) { return it.second > maxAttempts; };
+    if (std::count_if(begun->begin(), begun->end(), isExcess) > permittedExcesses)
+        broken.push_back("BUDGET: requests ran more often than their route allows");
     for (const auto& it : outcomes) {
         m_wholeAnswers += it.isWhole && it.status == 200;
         ++counts[it.isWhole ? std::to_string(it.status) : "not whole"];
-        const char* promise = brokenBy(it, begun.count(it.id) ? begun.at(it.id) : 0);
+        const char* promise = brokenBy(it, begun->count(it.id) ? begun->at(it.id) : 0);
         if (!promise)
             continue;
         m_cutAnswers += it.status && !it.isWhole;
--- a/test/fleet/Fleet.h
+++ b/test/fleet/Fleet.h
@@ -15,6 +15,9 @@
 
 using std::chrono::milliseconds;
 
+// No process is suspended for longer.
+constexpr milliseconds longestSuspension { 2200 };
+
 struct FleetOptions {
     size_t daemons = 8;
     size_t engines = 4;
@@ -53,8 +56,9 @@
     // Ends the callers' requests and returns each promise that was broken, with the lines of its request.
     std::vector<std::string> finish();
     size_t daemons() const { return m_options.daemons; }
-    // Counts of how requests ended, for the log; valid after finish().
+    // All valid after finish(): counts of how requests ended, for the log; all requests, and those with a whole answer.
     const std::string& summary() const { return m_summary; }
+    size_t requests() const { return m_requests; }
     size_t wholeAnswers() const { return m_wholeAnswers; }
     // Begun answers that ended before their end though the daemon lived; valid after finish().
     size_t cutAnswers() const { return m_cutAnswers; }
@@ -67,8 +71,10 @@
         std::string settings; // Path.
         std::string log; // Path.
         bool isStopping = false;
+        Steady::time_point startedAt {};
         std::vector<Steady::time_point> killedAt;
         std::vector<Steady::time_point> stoppedAt;
+        std::vector<Steady::time_point> suspendedAt;
     };
 
     std::string ip(size_t group, size_t number) const;
@@ -76,7 +82,8 @@
     void writeEndpoints();
     void startDaemon(size_t daemon);
     bool isReady(const Daemon&) const;
-    std::map<std::string, uint32_t> runs() const;
+    // How often each request has begun; nothing when the endpoints do not answer.
+    std::optional<std::map<std::string, uint32_t>> runs() const;
     // The promise that the outcome breaks; null when it breaks none.
     const char* brokenBy(const Outcome&, uint32_t runs) const;
     std::string logOf(const Outcome&) const;
@@ -96,7 +103,9 @@
     std::vector<Daemon> m_daemons;
     std::optional<Callers> m_callers;
     std::string m_summary;
+    size_t m_requests = 0;
     size_t m_wholeAnswers = 0;
+    std::vector<std::string> m_broken; // Promises of processes, beside those of requests.
     size_t m_cutAnswers = 0;
 };
 
--- a/test/fleet/FleetTest.cpp
+++ b/test/fleet/FleetTest.cpp
@@ -47,7 +47,8 @@
         FAIL_CHECK(broken[i]);
     CAPTURE(options.seed);
     CHECK(broken.size() == 0);
-    CHECK(fleet.wholeAnswers() > 0);
+    // The platform's gate: at most 60 in 100 are refused or fail.
+    CHECK(fleet.wholeAnswers() * 100 >= fleet.requests() * 40);
 }
 
 FleetOptions optionsFromEnvironment()
@@ -68,7 +69,7 @@
     std::vector<Step> steps;
     auto last = length - milliseconds(4000);
     for (auto at = between(0, 800); at < last; at += between(200, 1500)) {
-        auto end = at + between(300, 2200);
+        auto end = at + between(300, static_cast<int>(longestSuspension.count()));
         size_t daemon = random() % daemons;
         switch (random() % 8) {
         case 0:
