--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -328,13 +328,14 @@
         // Reads heads until that of the answer itself.
         ErrorCode readHead()
         {
+            constexpr int maxInterim = 3;
             ErrorCode ec;
-            do {
+            for (int n = 0; !m_parser || isInformational(m_parser->get().result_int()); ++n) {
                 m_parser = makeParser();
-                ec = m_connection.readHeader(*m_parser);
-            } while (!ec && isInformational(m_parser->get().result_int()));
-            if (ec)
-                return ec;
+                ec = n > maxInterim ? ErrorCode(http::error::bad_status) : m_connection.readHeader(*m_parser);
+                if (ec)
+                    return ec;
+            }
             m_answer.status = static_cast<int>(m_parser->get().result_int());
             for (const auto& it : m_parser->get())
                 m_answer.headers.emplace_back(it.name_string(), it.value());
--- a/test/adapters/HttpPlatformTest.cpp
+++ b/test/adapters/HttpPlatformTest.cpp
@@ -223,6 +223,16 @@
     }
 }
 
+// Interim answers without end would hold a call of a stream, whose deadline moves, for ever.
+TEST_CASE("more than three interim answers end a call")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    ScriptedServer three(interim + interim + interim + httpAnswer("200 OK", "bytes"));
+    CHECK(HttpObjectStore(three.address()).get("name", generous) == "bytes");
+    ScriptedServer four(interim + interim + interim + interim + httpAnswer("200 OK", "bytes"));
+    CHECK_FALSE(HttpObjectStore(four.address()).get("name", generous));
+}
+
 // Framing without end was read into memory until the time of the call was over.
 TEST_CASE("an answer whose framing has no end is broken off")
 {
