--- a/test/fleet/Fleet.cpp
+++ b/test/fleet/Fleet.cpp
@@ -31,6 +31,7 @@
     constexpr milliseconds callTimeout { 1000 };
     constexpr milliseconds graceTime { 8000 }; // From SIGTERM to SIGKILL.
     constexpr size_t shownLines = 12;
+    constexpr uint32_t maxAttempts = 2; // Of a stream.
     constexpr int permittedExcesses = 3; // Requests of a run, by the platform's rules.
     const std::string binaries = JACINTHSPINDLE_BINARY_DIR;
 
@@ -103,7 +104,7 @@
     {
         return { { "name", name }, { "host", "desk.example" }, { "prefix", prefix }, { "routeKind", kind },
             { "timeoutMs", 20000 }, { "targetLatencyMs", 600 }, { "gapAimMs", 300 }, { "priority", 1 },
-            { "service", service }, { "maxAttempts", kind == "stream" ? 2 : 1 }, { "public", false },
+            { "service", service }, { "maxAttempts", kind == "stream" ? maxAttempts : 1 }, { "public", false },
             { "resumable", kind == "stream" } };
     }
 
@@ -399,7 +400,6 @@
         broken.push_back("the endpoints do not tell which requests they ran");
         return broken;
     }
-    constexpr uint32_t maxAttempts = 2;
     auto isExcess = [](const auto& it) { return it.second > maxAttempts; };
     if (std::count_if(begun->begin(), begun->end(), isExcess) > permittedExcesses)
         broken.push_back("BUDGET: requests ran more often than their route allows");
