--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -147,7 +147,8 @@
     m_context.metrics.observe(daemon::Distribution::RequestTime, took);
     note("request-ended",
         { { "code", static_cast<int>(code) }, { "result", resultName(code) }, { "status", status },
-            { "took_ms", millisecondsOf(took) }, { "sends", m_sends }, { "events", m_events.delivered() },
+            { "took_ms", millisecondsOf(took) }, { "sends", m_sends }, { "heads", m_heads.size() },
+            { "heads_counted", m_sentTo.size() }, { "events", m_events.delivered() },
             { "first_event_ms", m_firstEventAt ? millisecondsOf(*m_firstEventAt - m_request.arrivedAt) : -1 },
             { "longest_gap_ms", millisecondsOf(m_longestGap) }, { "ended_by", nameOf(by) }, { "no_repeat", m_noRepeat },
             { "last_byte_ms", m_byteAt ? millisecondsOf(now - *m_byteAt) : -1 },
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -201,6 +201,7 @@
 
     uint32_t m_sends = 0; // Attempts that were sent.
     std::set<EndpointId> m_sentTo; // Endpoints to which the request was sent and that are not lost.
+    std::set<EndpointId> m_heads; // All endpoints to which the request was sent, for the log.
     const char* m_noRepeat = ""; // Why no further attempt was made, for the log.
     bool m_wasSilent = false; // The last attempt was ended by this daemon because an endpoint was silent.
     std::optional<Instant> m_byteAt; // When the last byte of an endpoint arrived.
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -63,6 +63,7 @@
     m_progressAt = m_context.clock.now();
     ++m_sends;
     m_sentTo.insert(first);
+    m_heads.insert(first);
     bool hadRun = m_mayHaveRun;
     m_mayHaveRun = true;
     m_connection->stream.expires_after(std::max<Duration>(timeLeft(), milliseconds(1)) + deadlineGrace);
--- a/test/router/SilentEngineTest.cpp
+++ b/test/router/SilentEngineTest.cpp
@@ -177,7 +177,7 @@
     CHECK(isWhole(ask(router, 1)));
     auto lines = router.logged("\"request-ended\"");
     REQUIRE(lines.size() == 1);
-    for (const char* field : { "\"ended_by\":\"endpoint\"", "\"no_repeat\":\"\"",
+    for (const char* field : { "\"heads\":1", "\"heads_counted\":1", "\"ended_by\":\"endpoint\"", "\"no_repeat\":\"\"",
              "\"last_byte_ms\":", "\"held_up_ms\":", "\"configuration_began\":3", "\"configuration_ended\":3" }) {
         CAPTURE(field);
         CAPTURE(lines.front());
