Count a silent engine, and keep its attempt until another one delivers

Where the next engine refused, the caller got 502 though the first one would have answered.

Cause: an attempt without an event was closed for its silence and its engine taken for lost, and lost engines did not count. Silence is no proof of a loss. The class is that of the cut streams: something is given up before it is certain.

The fix: an attempt is set aside whatever it has delivered, with its half-read head, and read on as soon as it goes on. The attempt that makes room for it is set aside in turn, so that a late refusal ends nothing. A silent engine stops counting only when the platform no longer lists it.

--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -1,6 +1,9 @@
 // The life of a request: decisions and the answer. Attempts are in ExchangeAttempt.cpp.
 
 #include "router/Exchange.h"
+
+#include <algorithm>
+
 namespace jacinthspindle::router {
 
 namespace {
@@ -49,6 +52,7 @@
     m_isCallerGone = true;
     m_decisionTimer.cancel();
     m_standby.reset();
+    m_returning.reset();
     closeConnection();
 }
 
@@ -56,6 +60,8 @@
 {
     if (!m_connection || m_movedFrom || hasBytes(m_connection->stream.socket()))
         return;
+    if (silent == m_head.endpoint)
+        m_silentHeads.insert(silent);
     auto now = m_context.clock.now();
     if (m_isAbandoned || (m_silent && now - m_askedAt < moveInterval))
         return;
@@ -75,7 +81,7 @@
     bool hasGoneOn
         = m_standby && hasBytes(m_standby->connection->stream.socket()) && !hasBytes(m_connection->stream.socket());
     if (!m_movedFrom && hasGoneOn) {
-        m_isReturning = true;
+        m_returning = std::exchange(m_standby, std::nullopt);
         m_movedFrom = m_head.endpoint;
     }
     // Between two reads there is nothing to cancel, so that an earlier interruption may have had no effect.
@@ -85,10 +91,7 @@
 
 void Exchange::interrupt()
 {
-    if (m_hasBegun)
-        m_connection->stream.cancel();
-    else
-        closeConnection();
+    m_connection->stream.cancel();
 }
 
 void Exchange::excuse(Duration delay)
@@ -148,7 +151,7 @@
     note("request-ended",
         { { "code", static_cast<int>(code) }, { "result", resultName(code) }, { "status", status },
             { "took_ms", millisecondsOf(took) }, { "sends", m_sends }, { "heads", m_heads.size() },
-            { "heads_counted", m_sentTo.size() }, { "events", m_events.delivered() },
+            { "heads_counted", countedHeads() }, { "events", m_events.delivered() },
             { "first_event_ms", m_firstEventAt ? millisecondsOf(*m_firstEventAt - m_request.arrivedAt) : -1 },
             { "longest_gap_ms", millisecondsOf(m_longestGap) }, { "ended_by", nameOf(by) }, { "no_repeat", m_noRepeat },
             { "last_byte_ms", m_byteAt ? millisecondsOf(now - *m_byteAt) : -1 },
@@ -176,6 +179,7 @@
         m_request.promptTokens, m_request.maxTokens, 0, {}, timeLeft() });
     auto end = co_await runAttempts();
     m_standby.reset();
+    m_returning.reset();
     // The request ended while the core decided about another attempt, which the core still counts.
     if (m_decision && std::holds_alternative<Dispatch>(*m_decision))
         m_context.postInput(CallerGone { m_request.id });
@@ -197,11 +201,12 @@
             result = co_await attempt(*dispatched);
         } else {
             m_isAbandoned = true;
-            result = co_await resumeStandby(number);
+            auto standby = std::exchange(m_standby, std::nullopt);
+            result = co_await resume(std::move(*standby), number);
         }
-        if (m_isReturning && mayResumeStandby()) {
+        while (auto next = takeNextTurn(result)) {
             noteFailure(result, number, nullptr);
-            result = co_await resumeStandby(number);
+            result = co_await resume(std::move(*next), number);
         }
         if (result.end == AttemptEnd::SetAside) {
             noteFailure(result, number, nullptr);
@@ -214,6 +219,19 @@
     }
 }
 
+// The core is not asked: both attempts were dispatched already.
+std::optional<Exchange::OpenAttempt> Exchange::takeNextTurn(const AttemptResult& result)
+{
+    if (!mayResume() || result.end == AttemptEnd::Complete)
+        return std::nullopt;
+    if (m_returning)
+        return std::exchange(m_returning, std::nullopt);
+    bool hasFailed = result.end != AttemptEnd::SetAside && result.end != AttemptEnd::OutOfAttempts;
+    if (hasFailed && m_standby && !m_standby->isSilent)
+        return std::exchange(m_standby, std::nullopt);
+    return std::nullopt;
+}
+
 net::awaitable<ExchangeEnd> Exchange::endWithoutAttempt(const std::optional<CoreDecision>& decision)
 {
     if (!decision) {
@@ -299,24 +317,22 @@
         return "attempts of a request";
     if (result.end == AttemptEnd::NotExecuted && m_request.isModel)
         return nullptr; // Another chain may have the same head, which is no further endpoint; see maySendTo().
-    auto used = m_sentTo.size();
-    if (isHeadLost(result) && m_sentTo.contains(m_head.endpoint))
-        --used;
-    if (used >= m_request.route.maxAttempts)
+    if (countedHeads() >= m_request.route.maxAttempts)
         return "attempts of the route";
     return result.end == AttemptEnd::NotExecuted || mayRunAgain() ? nullptr : "may have run";
 }
 
-// A head that is lost itself does not count as an endpoint that ran the request; one whose chain is broken does. The
-// head of a stream that has begun may still be at work.
-bool Exchange::isHeadLost(const AttemptResult& result) const
+bool Exchange::maySendTo(const EndpointId& head) const
 {
-    return !m_hasBegun && result.kind == FailureKind::Stalled && result.atFault == m_head.endpoint;
+    return m_heads.contains(head) || countedHeads() < m_request.route.maxAttempts;
 }
 
-bool Exchange::maySendTo(const EndpointId& head) const
+// A silent endpoint may be at work. It has ended, or is cut off, only once the platform no longer lists it.
+size_t Exchange::countedHeads() const
 {
-    return m_sentTo.contains(head) || m_sentTo.size() < m_request.route.maxAttempts;
+    auto view = m_context.currentView();
+    auto isLost = [&](const EndpointId& it) { return m_silentHeads.contains(it) && !view->findEndpoint(it); };
+    return m_heads.size() - static_cast<size_t>(std::count_if(m_heads.begin(), m_heads.end(), isLost));
 }
 
 net::awaitable<ExchangeEnd> Exchange::refuse(const Refuse& refused)
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -75,7 +75,7 @@
     void decide(const CoreDecision&);
     void callerGone();
     // This endpoint of the running attempt is silent. The work goes on elsewhere once the core has dispatched another
-    // attempt; until that one has delivered something, a stream that has begun is kept.
+    // attempt; until that one has delivered something, the silent one is kept.
     void moveAway(const EndpointId& silent);
     // Called periodically: returns to the stream that was set aside when it has gone on first.
     void followStandby();
@@ -92,7 +92,7 @@
     bool isStalled() const;
 
 private:
-    // SetAside: the stream is kept as m_standby while another attempt runs.
+    // SetAside: the attempt is kept as m_standby while another one runs.
     enum class AttemptEnd : uint8_t {
         Complete,
         NotSent,
@@ -117,6 +117,9 @@
         EndpointSighting head;
         std::unique_ptr<EndpointConnection> connection;
         std::unique_ptr<Parser> parser;
+        bool isForeign = false; // Bytes of another request's answer came first.
+        bool hasDelivered = false; // The caller has received something of it.
+        bool isSilent = false; // It was set aside for its silence, and not because another attempt went on first.
         std::string partialEvent; // While it is set aside.
     };
 
@@ -128,20 +131,25 @@
     net::awaitable<ExchangeEnd> afterAttempt(const AttemptResult&, uint32_t attempt, bool& isOver);
 
     net::awaitable<AttemptResult> attempt(const Dispatch&);
-    // Reads the stream on that was set aside, as the attempt with this number.
-    net::awaitable<AttemptResult> resumeStandby(uint32_t attempt);
-    bool mayResumeStandby() const { return m_standby && !m_isCallerGone && timeLeft() > Duration::zero(); }
+    // Reads an attempt on that was set aside, as the one with this number.
+    net::awaitable<AttemptResult> resume(OpenAttempt, uint32_t number);
+    // Returns the attempt that was set aside and is to be read on after this end of the running one, if there is one.
+    std::optional<OpenAttempt> takeNextTurn(const AttemptResult&);
+    bool mayResume() const { return !m_isCallerGone && timeLeft() > Duration::zero(); }
+    bool mayResumeStandby() const { return m_standby && mayResume(); }
+    // Reads the answer of the attempt, or what is left of it.
+    net::awaitable<AttemptResult> receive(OpenAttempt&);
     // Keeps the connection of an attempt that has ended, or drops it.
-    void settle(OpenAttempt, const AttemptResult&, bool isForeign);
+    void settle(OpenAttempt, const AttemptResult&);
     net::awaitable<std::unique_ptr<EndpointConnection>> acquire(const EndpointSighting&);
     net::awaitable<bool> writeRequest(EndpointConnection&, std::string chain);
-    net::awaitable<bool> readOwnHeader(EndpointConnection&, std::unique_ptr<Parser>&, bool& isForeign);
+    net::awaitable<bool> readOwnHeader(OpenAttempt&);
     // Returns the next bytes of the body, none when only framing was read; nothing when the answer broke off.
     net::awaitable<std::optional<std::string_view>> readSome(EndpointConnection&, Parser&);
     enum class BodyEnd : uint8_t { Whole, TooLong, BrokenOff };
     // Reads the body, or its beginning when it is longer than a daemon holds in memory for one request.
     net::awaitable<BodyEnd> readBody(EndpointConnection&, Parser&, std::string& body);
-    net::awaitable<AttemptResult> relayStream(EndpointConnection&, Parser&, uint32_t attempt);
+    net::awaitable<AttemptResult> relayStream(OpenAttempt&);
     net::awaitable<AttemptResult> takeWhole(EndpointConnection&, Parser&);
     net::awaitable<AttemptResult> passThrough(EndpointConnection&, Parser&, std::string body);
     AttemptResult classify(const http::response_header<>&, const std::string& body);
@@ -150,10 +158,9 @@
     AttemptResult noContinuation() const;
     AttemptResult broken(const char* detail) const;
     AttemptResult setAside() const;
-    // True when the running stream was interrupted in favour of another one and can be read on later.
+    // True when the running attempt was interrupted in favour of another one and can be read on later.
     bool isInterrupted(EndpointConnection&) const;
     void noteFailure(const AttemptResult&, uint32_t attempt, const char* noRepeat);
-    bool isHeadLost(const AttemptResult&) const;
     uint32_t position() const;
     void noteEndpoint(const http::response_header<>&) const;
     EndpointId faultOf(const http::response_header<>&) const;
@@ -164,9 +171,11 @@
     const char* whyNoRepeat(const AttemptResult&) const;
     bool mayRunAgain() const;
     bool maySendTo(const EndpointId&) const;
+    // Endpoints that count for the attempts that the route permits.
+    size_t countedHeads() const;
     Duration timeLeft() const { return m_request.deadline - m_context.clock.now(); }
     void closeConnection();
-    // Ends the reading of the running attempt: a stream that has begun can be read on.
+    // Ends the reading of the running attempt, which can be read on.
     void interrupt();
     ExchangeEnd endWithoutCaller();
     net::awaitable<ExchangeEnd> sendAnswer();
@@ -188,11 +197,11 @@
     EndpointConnection* m_connection = nullptr; // Of the running attempt; owned by attempt().
     EndpointSighting m_head;
     uint32_t m_attempt = 0; // Number of the running attempt.
-    std::optional<OpenAttempt> m_standby; // A silent stream, kept until an event of another attempt has arrived.
+    std::optional<OpenAttempt> m_standby; // Set aside, and kept until an event of another attempt has arrived.
+    std::optional<OpenAttempt> m_returning; // It was set aside and has gone on; the running attempt makes room for it.
     std::optional<EndpointId> m_silent; // For which the core was asked last about another attempt.
     Instant m_askedAt {}; // When it was asked; valid while m_silent is set.
     std::optional<EndpointId> m_movedFrom; // Set when the running attempt was ended because this endpoint is silent.
-    bool m_isReturning = false; // The running attempt was ended in favour of m_standby.
     bool m_isAbandoned = false; // The core makes no further decision about the request.
     Instant m_progressAt {}; // Last event of the running attempt, or when it was sent.
     std::optional<Instant> m_firstEventAt;
@@ -200,8 +209,8 @@
     Duration m_longestGap {}; // Between two events that the caller received.
 
     uint32_t m_sends = 0; // Attempts that were sent.
-    std::set<EndpointId> m_sentTo; // Endpoints to which the request was sent and that are not lost.
-    std::set<EndpointId> m_heads; // All endpoints to which the request was sent, for the log.
+    std::set<EndpointId> m_heads; // Endpoints to which the request was sent.
+    std::set<EndpointId> m_silentHeads; // Those of m_heads that fell silent and have not delivered anything since.
     const char* m_noRepeat = ""; // Why no further attempt was made, for the log.
     bool m_wasSilent = false; // The last attempt was ended by this daemon because an endpoint was silent.
     std::optional<Instant> m_byteAt; // When the last byte of an endpoint arrived.
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -37,7 +37,6 @@
 {
     m_movedFrom.reset();
     m_silent.reset();
-    m_isReturning = false;
     m_attempt = dispatch.attempt;
     m_events.discardPartialEvent();
     auto view = m_context.currentView();
@@ -53,68 +52,76 @@
         { { "attempt", dispatch.attempt }, { "endpoint", first.value() }, { "chain", *chain },
             { "table_revision", dispatch.tableRevision }, { "left_ms", millisecondsOf(timeLeft()) } });
     m_context.metrics.add(daemon::Counter::AttemptsStarted);
-    OpenAttempt open { dispatch.attempt, m_head, nullptr, nullptr, {} };
+    // The same head would not tell the two runs apart.
+    if (m_standby && !m_standby->hasDelivered && m_standby->head.endpoint == first)
+        m_standby.reset();
+    OpenAttempt open;
+    open.number = dispatch.attempt;
+    open.head = m_head;
     open.connection = co_await acquire(m_head);
     if (!open.connection || m_isCallerGone)
         co_return AttemptResult { AttemptEnd::NotSent, first, FailureKind::ConnectFailed, "connect" };
     m_connection = open.connection.get();
-    auto result = AttemptResult {};
-    bool isForeign = false;
     m_progressAt = m_context.clock.now();
     ++m_sends;
-    m_sentTo.insert(first);
     m_heads.insert(first);
     bool hadRun = m_mayHaveRun;
     m_mayHaveRun = true;
     m_connection->stream.expires_after(std::max<Duration>(timeLeft(), milliseconds(1)) + deadlineGrace);
     if (!m_request.isModel)
         chain->clear();
+    AttemptResult result;
     bool isWritten = co_await writeRequest(*m_connection, *chain);
-    bool isAnswered = false;
     if (isWritten)
-        isAnswered = co_await readOwnHeader(*open.connection, open.parser, isForeign);
-    if (!isAnswered)
-        result = broken(isWritten ? "no answer" : "write");
-    else if (isSuccess(open.parser->get().result_int())
-        && open.parser->get()[http::field::content_type].starts_with("text/event-stream"))
-        result = co_await relayStream(*open.connection, *open.parser, dispatch.attempt);
+        result = co_await receive(open);
     else
-        result = co_await takeWhole(*open.connection, *open.parser);
+        result = broken("write");
     if (result.end == AttemptEnd::NotExecuted)
         m_mayHaveRun = hadRun;
-    settle(std::move(open), result, isForeign);
+    settle(std::move(open), result);
     co_return result;
 }
 
-net::awaitable<Exchange::AttemptResult> Exchange::resumeStandby(uint32_t attempt)
+net::awaitable<Exchange::AttemptResult> Exchange::resume(OpenAttempt open, uint32_t number)
 {
-    auto open = std::move(*m_standby);
-    m_standby.reset();
     m_movedFrom.reset();
     m_silent.reset();
-    m_isReturning = false;
-    m_attempt = open.number = attempt;
+    m_attempt = open.number = number;
     m_head = open.head;
-    m_sentTo.insert(m_head.endpoint);
     m_events.restorePartialEvent(std::move(open.partialEvent));
     m_connection = open.connection.get();
     m_progressAt = m_context.clock.now();
     m_connection->stream.expires_after(timeLeft() + deadlineGrace);
     note("attempt-resumed",
-        { { "attempt", attempt }, { "endpoint", m_head.endpoint.value() }, { "left_ms", millisecondsOf(timeLeft()) } });
-    auto result = co_await relayStream(*open.connection, *open.parser, attempt);
-    settle(std::move(open), result, false);
+        { { "attempt", number }, { "endpoint", m_head.endpoint.value() }, { "left_ms", millisecondsOf(timeLeft()) } });
+    auto result = co_await receive(open);
+    settle(std::move(open), result);
     co_return result;
 }
 
-void Exchange::settle(OpenAttempt open, const AttemptResult& result, bool isForeign)
+net::awaitable<Exchange::AttemptResult> Exchange::receive(OpenAttempt& open)
+{
+    bool hasHeader = open.parser && open.parser->is_header_done();
+    if (!hasHeader) {
+        bool isAnswered = co_await readOwnHeader(open);
+        // A header that is half read can be read on; another request's body cannot.
+        bool isKept = !open.parser->is_header_done() && isInterrupted(*open.connection);
+        if (!isAnswered)
+            co_return isKept ? setAside() : broken("no answer");
+    }
+    const auto& header = open.parser->get();
+    if (isSuccess(header.result_int()) && header[http::field::content_type].starts_with("text/event-stream"))
+        co_return co_await relayStream(open);
+    co_return co_await takeWhole(*open.connection, *open.parser);
+}
+
+void Exchange::settle(OpenAttempt open, const AttemptResult& result)
 {
     m_connection = nullptr;
-    if (isHeadLost(result))
-        m_sentTo.erase(m_head.endpoint);
+    open.isSilent = !m_returning;
     if (result.end == AttemptEnd::SetAside) {
-        // Of two streams, the one is kept from which the caller has received something.
-        if (!m_standby) {
+        // Of two attempts, the one is kept from which the caller has received something.
+        if (!m_standby || open.hasDelivered) {
             open.partialEvent = m_events.takePartialEvent();
             m_standby = std::move(open);
         }
@@ -122,7 +129,7 @@
     }
     // A refusal or a failure that the endpoint writes once more could answer the same request when it is repeated.
     bool isReusable = result.end == AttemptEnd::Complete && open.parser && open.parser->is_done()
-        && isSuccess(open.parser->get().result_int()) && open.parser->keep_alive() && !isForeign
+        && isSuccess(open.parser->get().result_int()) && open.parser->keep_alive() && !open.isForeign
         && !open.connection->buffer.size() && !m_isCallerGone && !m_movedFrom;
     if (isReusable)
         m_context.pool.giveBack(std::move(open.connection), idleLimitOf(open.parser->get().base()));
@@ -130,7 +137,7 @@
 
 bool Exchange::isInterrupted(EndpointConnection& connection) const
 {
-    return m_movedFrom && m_hasBegun && !m_isCallerGone && connection.stream.socket().is_open();
+    return m_movedFrom && !m_isCallerGone && connection.stream.socket().is_open();
 }
 
 Exchange::AttemptResult Exchange::setAside() const
@@ -166,12 +173,15 @@
 }
 
 // Reads headers until those of this request's answer. A faulty endpoint may have sent another answer first.
-net::awaitable<bool> Exchange::readOwnHeader(
-    EndpointConnection& connection, std::unique_ptr<Parser>& parser, bool& isForeign)
+net::awaitable<bool> Exchange::readOwnHeader(OpenAttempt& open)
 {
     constexpr int maxForeign = 2;
+    auto& connection = *open.connection;
+    auto& parser = open.parser;
     for (int i = 0; i <= maxForeign; ++i) {
-        parser = std::make_unique<Parser>();
+        // A header that was half read when the attempt was set aside is read on.
+        if (!parser || parser->is_header_done())
+            parser = std::make_unique<Parser>();
         // Boost 1.74 compares a length with a missing limit as if it were exceeded.
         parser->body_limit(std::numeric_limits<uint64_t>::max());
         ErrorCode ec;
@@ -182,7 +192,7 @@
         bool isFinal = http::to_status_class(parser->get().result_int()) != http::status_class::informational;
         if (isFinal && parser->get()[m_context.settings.headers.requestId] == m_request.wireId)
             co_return true;
-        isForeign = true;
+        open.isForeign = true;
         note("foreign-answer", { { "endpoint", m_head.endpoint.value() } });
         std::string ignored;
         auto end = co_await readBody(connection, *parser, ignored);
@@ -239,6 +249,7 @@
 {
     m_hasBegun = true;
     m_isPassingThrough = true;
+    m_standby.reset();
     bool isReached = co_await m_sink.beginParts(forwardResponseHeader(parser.get().base()));
     if (isReached)
         isReached = co_await m_sink.sendPart(body);
@@ -348,9 +359,10 @@
 
 // Passes whole events on as they come. The caller has received nothing of an event that breaks off, so that the stream
 // can be continued after the last whole one.
-net::awaitable<Exchange::AttemptResult> Exchange::relayStream(
-    EndpointConnection& connection, Parser& parser, uint32_t attempt)
+net::awaitable<Exchange::AttemptResult> Exchange::relayStream(OpenAttempt& open)
 {
+    auto& connection = *open.connection;
+    auto& parser = *open.parser;
     const auto header = parser.get().base();
     if (!isOwnAnswer(header))
         co_return notOwnAnswer();
@@ -373,12 +385,14 @@
         // Bytes that end no event are no progress: the caller sees none either.
         m_progressAt = m_context.clock.now();
         noteEvent(m_progressAt);
+        open.hasDelivered = true;
+        m_silentHeads.erase(m_head.endpoint);
         m_standby.reset();
-        if (m_isReturning) {
-            m_isReturning = false;
+        if (m_returning) {
+            m_returning.reset();
             m_movedFrom.reset();
         }
-        bool isReached = co_await sendEvents(header, events, attempt);
+        bool isReached = co_await sendEvents(header, events, open.number);
         if (!isReached) {
             m_isCallerGone = true;
             co_return broken("caller");
@@ -387,7 +401,7 @@
     if (m_events.isInsideEvent())
         co_return broken("stream ended inside an event");
     events.clear();
-    bool isReached = co_await sendEvents(header, events, attempt);
+    bool isReached = co_await sendEvents(header, events, open.number);
     if (!isReached)
         m_isCallerGone = true;
     co_return isReached ? AttemptResult { AttemptEnd::Complete, {}, FailureKind::BadToken, "" } : broken("caller");
--- a/test/router/SilentEngineTest.cpp
+++ b/test/router/SilentEngineTest.cpp
@@ -26,6 +26,12 @@
     return events;
 }
 
+std::string streamAnswer(const std::string& identity)
+{
+    return "HTTP/1.1 200 OK\r\n" + identity + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + chunk(eventsUpTo(5)) + "0\r\n\r\n";
+}
+
 bool isWhole(const std::string& answer)
 {
     return answer.ends_with("0\r\n\r\n") && eventsOf(answer) == eventsUpTo(5);
@@ -142,9 +148,7 @@
         if (requests++)
             return httpAnswer("503 Service Unavailable", "", identity + "X-Not-Executed: 1\r\n");
         std::this_thread::sleep_for(1600ms);
-        return "HTTP/1.1 200 OK\r\n" + identity
-            + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(eventsUpTo(5))
-            + "0\r\n\r\n";
+        return streamAnswer(identity);
     };
     ScriptedServer first(engine);
     ScriptedServer second(engine);
@@ -153,6 +157,75 @@
     CHECK(isWhole(ask(router, 1)));
 }
 
+// An engine that has ended is no reason to refuse the next one; silent ones that the platform lists are.
+TEST_CASE("a silent engine no longer counts once the platform has dropped it from its list")
+{
+    auto silent = [](const std::string&) { return std::string(); };
+    std::list<ScriptedServer> engines;
+    std::vector<router::EndpointSighting> endpoints;
+    for (int i = 0; i < 3; ++i) {
+        engines.emplace_back(silent, AfterAnswer::Hold);
+        endpoints.push_back(endpointAt("e" + std::to_string(i), "assistant", engines.back().address()));
+    }
+    auto hasRequest = [](const ScriptedServer& it) { return !it.lastRequest().empty(); };
+    auto received = [&] { return std::count_if(engines.begin(), engines.end(), hasRequest); };
+    RouterFixture router;
+    router.start(endpoints);
+    auto answer = std::async(std::launch::async, [&] { return ask(router, 1); });
+    REQUIRE(RouterFixture::eventually([&] { return received() == 2; }));
+    auto lost = std::find_if(engines.begin(), engines.end(), hasRequest);
+    {
+        std::lock_guard lock(router.platform().mutex);
+        std::erase_if(router.platform().endpoints, [&](const auto& it) { return it.address == lost->address(); });
+    }
+    answer.wait();
+    CHECK(received() == 3);
+}
+
+// The attempt that replaced a silent one was dropped as soon as the silent engine sent anything, a refusal too.
+TEST_CASE("a late refusal by a silent engine does not end the attempt that replaced it")
+{
+    std::atomic<int> requests { 0 };
+    auto engine = [&](const std::string& request) {
+        auto identity = "X-Request-Id: " + headerOf(request, "X-Request-Id") + "\r\nX-Signature: s\r\n";
+        bool isFirst = !requests++;
+        std::this_thread::sleep_for(isFirst ? 1100ms : 700ms);
+        if (isFirst)
+            return httpAnswer("503 Service Unavailable", "", identity + "X-Not-Executed: 1\r\n");
+        return streamAnswer(identity);
+    };
+    ScriptedServer first(engine);
+    ScriptedServer second(engine);
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", first.address()), endpointAt("e2", "assistant", second.address()) });
+    CHECK(isWhole(ask(router, 1)));
+    CHECK(requests == 2);
+}
+
+// An attempt is set aside in the middle of its head.
+TEST_CASE("a stream whose head was half read when its engine fell silent is answered whole")
+{
+    const std::string answer = streamAnswer("X-Request-Id: r1\r\nX-Signature: s\r\n");
+    const size_t half = answer.find("X-Signature");
+    std::atomic<int> requests { 0 };
+    auto engine = [&](const std::string&) {
+        if (!requests++)
+            return answer.substr(0, half);
+        return httpAnswer("503 Service Unavailable", "", "X-Request-Id: r1\r\nX-Signature: s\r\nX-Not-Executed: 1\r\n");
+    };
+    ScriptedServer one(engine, AfterAnswer::Hold);
+    ScriptedServer other(engine, AfterAnswer::Hold);
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", one.address()), endpointAt("e2", "assistant", other.address()) });
+    auto whole = std::async(std::launch::async, [&] { return isWhole(ask(router, 1)); });
+    REQUIRE(RouterFixture::eventually([&] { return requests == 1; }));
+    auto& first = one.lastRequest().empty() ? other : one;
+    REQUIRE(RouterFixture::eventually([&] { return requests == 2; }));
+    std::this_thread::sleep_for(300ms);
+    first.goOn(answer.substr(half));
+    CHECK(whole.get());
+}
+
 // LOST in incident 2026-12-04: a process that was held up took the time for silence of its engines.
 TEST_CASE("no stream is moved or cut after the process itself was held up")
 {
