--- a/test/support/PausingEngine.h
+++ b/test/support/PausingEngine.h
@@ -1,4 +1,5 @@
-// An engine that serves streams side by side and pauses in the middle of each, though it lives and goes on later.
+// An engine that serves streams side by side and pauses in the middle of each, though it lives and goes on later. Under
+// one part of a prompt its process ends.
 
 #pragma once
 
@@ -17,6 +18,9 @@
         int lastEvent = 5;
         std::string refusal; // Answer to a request that continues a stream; empty: it is continued.
         std::chrono::milliseconds continuationDelay {}; // Between the head and the events of a continued stream.
+        std::string fatalPart; // Empty: none ends the process.
+        std::chrono::milliseconds firstDelay {}; // Between a request and the head of its answer.
+        std::function<void(const PausingEngine&)> onEnd; // Called when the process ends, which then starts again.
     };
 
     explicit PausingEngine(Script script)
@@ -41,6 +45,8 @@
     int continued() const { return m_continued; }
     // Connections that the router closed before the last event.
     int cut() const { return m_cut; }
+    // How often the process ended.
+    int ends() const { return m_ends; }
 
     static std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) + "\n\n"; }
 
@@ -85,13 +91,28 @@
     bool wait(int socket, std::chrono::milliseconds duration) const
     {
         auto end = std::chrono::steady_clock::now() + duration;
-        while (!m_isStopping && std::chrono::steady_clock::now() < end) {
+        int ends = m_ends;
+        while (!m_isStopping && m_ends == ends && std::chrono::steady_clock::now() < end) {
             char byte = 0;
             // The body of the request may follow its head.
             if (isReadable(socket) && recv(socket, &byte, 1, 0) <= 0)
                 return false;
         }
-        return !m_isStopping;
+        return !m_isStopping && m_ends == ends;
+    }
+
+    void endProcess(int socket)
+    {
+        ++m_ends;
+        if (m_script.onEnd)
+            m_script.onEnd(*this);
+        abort(socket);
+    }
+
+    static void abort(int socket)
+    {
+        linger reset { 1, 0 };
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
     }
 
     void serve(int socket)
@@ -106,7 +127,11 @@
             write(socket, ownAnswer(request));
             return;
         }
-        bool isOpen = write(socket, head(request));
+        int ends = m_ends;
+        bool isOpen = wait(socket, m_script.firstDelay) && write(socket, head(request));
+        bool isFatal = !m_script.fatalPart.empty() && request.find(m_script.fatalPart + ':') != std::string::npos;
+        if (isOpen && isFatal)
+            return endProcess(socket);
         if (isOpen && !last.empty())
             isOpen = wait(socket, m_script.continuationDelay);
         for (; isOpen && next <= m_script.lastEvent; ++next) {
@@ -115,6 +140,8 @@
                 isOpen = wait(socket, m_script.pause);
         }
         isOpen = isOpen && write(socket, "0\r\n\r\n");
+        if (m_ends != ends)
+            return abort(socket);
         m_cut += !isOpen;
     }
 
@@ -142,6 +169,7 @@
     std::list<std::thread> m_streams; // Grows in m_thread only.
     std::atomic<int> m_continued { 0 };
     std::atomic<int> m_cut { 0 };
+    std::atomic<int> m_ends { 0 };
     std::atomic<bool> m_isStopping { false };
     std::thread m_thread;
 };
