Keep requests from the engines whose prompts have a part under which engines end

Cause: nothing connected the ends of engines with what their requests have in common. An attempt whose engine ended is repeated at the next engine, by the daemon and by the caller. The class: a failure is charged to the endpoint alone, though the request may be its cause.

The fix: parts of requests that lost an engine before their first event are suspects, if an inquiry shows that the engine ended.

--- a/include/spindlecore/ResultCode.h
+++ b/include/spindlecore/ResultCode.h
@@ -31,6 +31,7 @@
     IdempotencyKeyMissing = 310,
     IdempotencyKeyReused = 311,
     TableNotReady = 312,
+    PromptPartBlocked = 313,
 
     EndpointFailed = 400,
     AttemptsExhausted = 401,
--- a/src/daemon/Metrics.cpp
+++ b/src/daemon/Metrics.cpp
@@ -44,6 +44,7 @@
         { "trace_batches_failed_total", "Trace batches that the object store did not take" },
         { "platform_failures_total", "Failed requests to the platform" },
         { "answers_cut_total", "Begun answers that the daemon ended before their endpoint did" },
+        { "requests_withheld_total", "Requests kept from the engines for a part of their prompts" },
     } };
 
     constexpr std::array<NameText, distributionCount> distributionTexts { {
--- a/src/daemon/Metrics.h
+++ b/src/daemon/Metrics.h
@@ -41,8 +41,9 @@
     TraceBatchesFailed,
     PlatformFailures,
     AnswersCut, // Begun answers that this daemon ended while their endpoint had neither ended nor broken them off.
+    RequestsWithheld, // Requests kept from the engines for a part of their prompts.
 };
-constexpr size_t counterCount = static_cast<size_t>(Counter::AnswersCut) + 1;
+constexpr size_t counterCount = static_cast<size_t>(Counter::RequestsWithheld) + 1;
 
 enum class Distribution : uint8_t {
     DecisionTime, // Of one input in the decision core.
--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -40,6 +40,21 @@
         request.maxTokens = parseNumber<uint32_t>(text.substr(comma + 1)).value_or(0);
     }
 
+    // "ID:tokens,ID:tokens"; the last part belongs to the request itself.
+    std::vector<PromptPart> partsOf(beast::string_view text)
+    {
+        std::vector<PromptPart> parts;
+        for (auto comma = text.find(','); comma != beast::string_view::npos; comma = text.find(',')) {
+            auto part = text.substr(0, comma);
+            while (part.starts_with(' '))
+                part.remove_prefix(1);
+            auto identifier = part.substr(0, part.find(':'));
+            parts.push_back(promptPartOf({ identifier.data(), identifier.size() }));
+            text.remove_prefix(comma + 1);
+        }
+        return parts;
+    }
+
     std::optional<std::string> keyOf(const http::request<http::string_body>& request)
     {
         constexpr beast::string_view scheme = "Bearer ";
@@ -231,6 +246,8 @@
     request.deadline = arrivedAt + std::min(deadline, route->timeout);
     request.lastEvent = parseNumber<uint64_t>(message[names.lastEvent]);
     readTokens(message[names.tokens], request);
+    if (request.isModel)
+        request.parts = partsOf(message[names.promptParts]);
     request.message = std::move(message);
 
     auto exchange = std::make_shared<Exchange>(m_traffic.context(), *this, std::move(request));
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -93,6 +93,9 @@
               [this](const EndpointId& id) { return m_directory.find(id) != nullptr; },
               [this](const EndpointObservation& it) { pauseFailed(it.endpoint, it.witness); },
               [this](std::vector<EndpointLoad> load) { return withReports(std::move(load)); } })
+    , m_partSharing(io, clock, journal, metrics,
+          { settings.host, settings.dataCentre, settings.peerAddress, settings.linkMbps },
+          [this] { return m_sharing.listedHosts(); })
 {
 }
 
@@ -100,6 +103,7 @@
 {
     m_traffic = &traffic;
     m_sharing.start();
+    m_partSharing.start(traffic.parts());
     net::co_spawn(m_io, followConfiguration(), net::detached);
     net::co_spawn(m_io, followEndpoints(), net::detached);
     net::co_spawn(m_io, tick(), net::detached);
@@ -160,6 +164,18 @@
     });
 }
 
+void Control::postPartNews()
+{
+    net::post(m_io, [this] { m_partSharing.noteNews(); });
+}
+
+net::awaitable<TextAnswer> Control::answerPeer(TextRequest request)
+{
+    if (request.target.starts_with(partsTarget))
+        co_return m_partSharing.answer(request);
+    co_return co_await m_sharing.answer(std::move(request));
+}
+
 void Control::noteLeaving(const EndpointId& id)
 {
     if (!m_directory.noteLeaving(id))
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -5,6 +5,7 @@
 
 #include "router/FactSharing.h"
 #include "router/LayoutPlanner.h"
+#include "router/PartSharing.h"
 #include "router/Traffic.h"
 
 namespace jacinthspindle::router {
@@ -30,13 +31,14 @@
     // The process has begun to drain.
     void resign();
 
-    // Answers another daemon; see FactSharing.
-    net::awaitable<TextAnswer> answerPeer(TextRequest request) { return m_sharing.answer(std::move(request)); }
+    // Answers another daemon; see FactSharing and PartSharing.
+    net::awaitable<TextAnswer> answerPeer(TextRequest);
 
     // Thread-safe.
     void postInput(CoreInput);
     void reportSilent(const EndpointId&);
     void postNotice(EndpointNotice);
+    void postPartNews();
 
 private:
     net::awaitable<void> followConfiguration();
@@ -83,6 +85,7 @@
     EndpointPauses m_pauses;
     LayoutPlanner m_planner;
     FactSharing m_sharing;
+    PartSharing m_partSharing;
     std::shared_ptr<const RoutingConfiguration> m_configuration;
     std::shared_ptr<const std::string> m_document; // That m_configuration was decoded from.
     std::shared_ptr<const RouteIndex> m_routes; // Of m_configuration.
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -19,6 +19,8 @@
     constexpr milliseconds leastPatience { 2000 };
     // Between two questions to the core whether another attempt may take over from a silent one.
     constexpr milliseconds moveInterval { 500 };
+    // For requests whose prompts have a part under which engines end: they are not served later either.
+    constexpr std::chrono::minutes withheldRetryAfter { 10 };
     // An event of a stream holds a few tokens; only the length estimates of the core use the figure.
     constexpr uint32_t tokensPerEvent = 2;
 
@@ -175,6 +177,8 @@
 net::awaitable<ExchangeEnd> Exchange::run()
 {
     m_context.metrics.add(daemon::Counter::RequestsArrived);
+    if (isWithheld())
+        co_return co_await withhold();
     m_context.postInput(RequestArrived { m_request.id, m_request.workspace, RouteId(m_request.service),
         m_request.promptTokens, m_request.maxTokens, 0, {}, timeLeft() });
     auto end = co_await runAttempts();
@@ -212,6 +216,10 @@
             noteFailure(result, number, nullptr);
             continue;
         }
+        if (result.end == AttemptEnd::Withheld) {
+            m_context.postInput(CallerGone { m_request.id });
+            co_return co_await withhold();
+        }
         bool isOver = false;
         auto end = co_await afterAttempt(result, number, isOver);
         if (isOver)
@@ -344,6 +352,15 @@
     co_return co_await sendError(refused.code, 503, std::min(refused.retryAfter, longest));
 }
 
+net::awaitable<ExchangeEnd> Exchange::withhold()
+{
+    m_noRepeat = resultName(ResultCode::PromptPartBlocked);
+    m_context.metrics.add(daemon::Counter::RequestsWithheld);
+    if (m_mayHaveRun)
+        co_return co_await giveUp(ResultCode::PromptPartBlocked);
+    co_return co_await sendError(ResultCode::PromptPartBlocked, 503, withheldRetryAfter);
+}
+
 // The last answer to a request that no further attempt is made for.
 net::awaitable<ExchangeEnd> Exchange::giveUp(ResultCode code)
 {
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -5,6 +5,7 @@
 #include "router/EndpointPool.h"
 #include "router/Headers.h"
 #include "router/Journal.h"
+#include "router/PromptParts.h"
 
 #include "daemon/Metrics.h"
 
@@ -26,6 +27,14 @@
     virtual net::awaitable<bool> endParts() = 0;
 };
 
+// A request lost its engine before its first event.
+struct UnbegunLoss {
+    EndpointSighting engine;
+    std::vector<PromptPart> parts; // Of the request; see RoutedRequest.
+    Instant sentAt {};
+    Instant lostAt {};
+};
+
 // What an exchange needs from the traffic thread. All of it outlives the exchange.
 struct ExchangeContext {
     net::any_io_executor executor;
@@ -38,6 +47,8 @@
     std::function<void(EndpointNotice)> postNotice; // To the control thread.
     std::function<std::shared_ptr<const RoutingView>()> currentView;
     std::function<Duration()> recentDelay; // Longest delay of the event loop just before; see LoopWatch.
+    PromptParts& parts;
+    std::function<void(UnbegunLoss)> noteLoss;
 };
 
 // A request that has passed the checks of its route and key.
@@ -53,6 +64,7 @@
     Instant deadline {}; // The earlier one of the caller's deadline and the route's timeout.
     uint32_t promptTokens = 0;
     uint32_t maxTokens = 0;
+    std::vector<PromptPart> parts; // Of the prompt of a model's request, in order, without the last one: it is its own.
     std::optional<uint64_t> lastEvent; // The caller continues a stream.
     uint64_t configurationVersion = 0; // That the request was routed by.
 };
@@ -92,7 +104,7 @@
     bool isStalled() const;
 
 private:
-    // SetAside: the attempt is kept as m_standby while another one runs.
+    // SetAside: the attempt is kept as m_standby while another one runs. Withheld: not sent, for a part of its prompt.
     enum class AttemptEnd : uint8_t {
         Complete,
         NotSent,
@@ -101,7 +113,8 @@
         Failed,
         CallerGone,
         TimedOut,
-        SetAside
+        SetAside,
+        Withheld
     };
     struct AttemptResult {
         AttemptEnd end = AttemptEnd::NotSent;
@@ -115,6 +128,7 @@
     struct OpenAttempt {
         uint32_t number = 0;
         EndpointSighting head;
+        Instant sentAt {};
         std::unique_ptr<EndpointConnection> connection;
         std::unique_ptr<Parser> parser;
         bool isForeign = false; // Bytes of another request's answer came first.
@@ -127,6 +141,9 @@
     net::awaitable<std::optional<CoreDecision>> nextDecision();
     net::awaitable<ExchangeEnd> endWithoutAttempt(const std::optional<CoreDecision>&);
     net::awaitable<ExchangeEnd> refuse(const Refuse&);
+    // Its prompt has a part under which engines end.
+    net::awaitable<ExchangeEnd> withhold();
+    bool isWithheld() const { return m_context.parts.isBlocked(m_context.clock.now(), m_request.parts); }
     net::awaitable<ExchangeEnd> giveUp(ResultCode);
     net::awaitable<ExchangeEnd> afterAttempt(const AttemptResult&, uint32_t attempt, bool& isOver);
 
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -43,6 +43,8 @@
     const auto& first = dispatch.chain.front().endpoint;
     const auto* head = view->findEndpoint(first);
     auto chain = chainText(*view, dispatch.chain);
+    if (isWithheld())
+        co_return AttemptResult { AttemptEnd::Withheld, {}, FailureKind::StreamBroken, "part of the prompt" };
     if (head && !maySendTo(first))
         co_return AttemptResult { AttemptEnd::OutOfAttempts, {}, FailureKind::StreamBroken, "attempts of the route" };
     if (!head || !chain)
@@ -62,7 +64,7 @@
     if (!open.connection || m_isCallerGone)
         co_return AttemptResult { AttemptEnd::NotSent, first, FailureKind::ConnectFailed, "connect" };
     m_connection = open.connection.get();
-    m_progressAt = m_context.clock.now();
+    m_progressAt = open.sentAt = m_context.clock.now();
     ++m_sends;
     m_heads.insert(first);
     bool hadRun = m_mayHaveRun;
@@ -119,6 +121,9 @@
 {
     m_connection = nullptr;
     open.isSilent = !m_returning;
+    bool isBroken = result.end == AttemptEnd::Failed && result.kind == FailureKind::StreamBroken;
+    if (isBroken && !open.hasDelivered && !m_request.parts.empty())
+        m_context.noteLoss({ open.head, m_request.parts, open.sentAt, m_context.clock.now() });
     if (result.end == AttemptEnd::SetAside) {
         // Of two attempts, the one is kept from which the caller has received something.
         if (!m_standby || open.hasDelivered) {
@@ -385,6 +390,8 @@
         // Bytes that end no event are no progress: the caller sees none either.
         m_progressAt = m_context.clock.now();
         noteEvent(m_progressAt);
+        if (!open.hasDelivered)
+            m_context.parts.recordBegin(m_progressAt, m_request.parts);
         open.hasDelivered = true;
         m_silentHeads.erase(m_head.endpoint);
         m_standby.reset();
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -128,6 +128,7 @@
             hosts = std::move(later);
     }
     m_sourceSelector.setHosts(*hosts);
+    m_listedHosts = *hosts;
     m_journal.write(LineKind::Info, "hosts-listed", { { "hosts", hosts->size() }, { "is_entered", isEntered } });
     co_return isEntered;
 }
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -46,6 +46,8 @@
     bool isLastingReader() const;
     // Daemons that entered themselves in the platform's list, as this one or its source last read it; 0: unknown.
     size_t hosts() const { return std::max(m_sourceSelector.hosts(), m_relayedHosts); }
+    // The daemons in the platform's list, as this one read it last.
+    const std::vector<PeerHost>& listedHosts() const { return m_listedHosts; }
     // Pause after a failed read of the platform.
     Duration retryPause() const { return m_sourceSelector.retryPause(); }
     // The platform did or did not answer this daemon.
@@ -97,6 +99,7 @@
     const PeerHost m_self;
     const std::string m_name; // Unique per start of this daemon.
     FactSourceSelector m_sourceSelector;
+    std::vector<PeerHost> m_listedHosts;
     Broadcast m_change;
     uint64_t m_news = 0;
     bool m_isReading = false;
--- a/src/router/RouterSettings.h
+++ b/src/router/RouterSettings.h
@@ -15,6 +15,7 @@
     const char* deadline = "X-Deadline-Ms"; // Milliseconds that the sender will wait.
     const char* lastEvent = "Last-Event-ID"; // The event after which a stream continues.
     const char* tokens = "X-Tokens"; // Prompt tokens and the most output tokens, with a comma between them.
+    const char* promptParts = "X-Prompt-Parts"; // Parts of the prompt in order: ID:tokens, with commas between them.
     const char* workspace = "X-Workspace"; // Set by the router from the caller's key.
     const char* expectedInstance = "X-Expected-Instance"; // The endpoint that is meant; any other one refuses.
     const char* chain = "X-Chain"; // Stages of the request: IP:port=first-end, with commas between them.
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -23,6 +23,8 @@
     // A daemon that cannot check keys for much longer is better left out by the balancer.
     constexpr milliseconds readyConfigurationAge { 3500 };
     constexpr milliseconds acceptPause { 50 };
+    // Requests that lose an engine together notice it within a few milliseconds.
+    constexpr milliseconds lossCollectionTime { 10 };
     // Part of the silence after which an endpoint is asked.
     constexpr milliseconds loggedDelay = silenceBeforeInquiry / 2;
 
@@ -39,7 +41,8 @@
     , m_pool(io.get_executor(), clock)
     , m_context { io.get_executor(), clock, journal, metrics, m_pool, settings, m_control.postInput,
         m_control.postNotice, [this] { return m_view; },
-        [this] { return m_loopWatch.longestDelay(m_context.clock.now()); } }
+        [this] { return m_loopWatch.longestDelay(m_context.clock.now()); }, m_parts,
+        [this](UnbegunLoss loss) { noteLoss(std::move(loss)); } }
     , m_acceptor(io)
     , m_loopWatch(sweepInterval)
 {
@@ -159,6 +162,17 @@
             { "endpoints", m_view ? m_view->endpoints.size() : 0 }, { "draining", isDraining() } });
 }
 
+void Traffic::noteBlockedParts()
+{
+    auto now = m_context.clock.now();
+    m_parts.update(now);
+    auto blocked = m_parts.blocked(now);
+    if (blocked == m_blockedParts)
+        return;
+    m_blockedParts = blocked;
+    m_journal.write(LineKind::Warning, "parts-blocked", { { "parts", blocked }, { "suspects", m_parts.suspects() } });
+}
+
 void Traffic::noteDelay(Duration delay)
 {
     m_context.metrics.observe(daemon::Distribution::LoopDelay, delay);
@@ -183,6 +197,7 @@
         for (const auto& [id, exchange] : m_exchanges)
             exchange->excuse(delay);
         noteReadiness();
+        noteBlockedParts();
         m_pool.sweep();
         if (!m_exchanges.empty())
             inquireSilent(m_context.clock.now());
@@ -236,6 +251,45 @@
     }
 }
 
+void Traffic::noteLoss(UnbegunLoss loss)
+{
+    auto engine = loss.engine;
+    // An engine that leaves ends as well. Some leave the list without a word before that.
+    const auto* listed = m_view->findEndpoint(engine.endpoint);
+    if (!listed || listed->isLeaving)
+        return;
+    auto& losses = m_losses[engine.endpoint];
+    losses.push_back(std::move(loss));
+    if (losses.size() == 1)
+        net::co_spawn(m_io, confirmEnd(std::move(engine)), net::detached);
+}
+
+// A lost connection proves nothing: it may have been reset on the way.
+net::awaitable<void> Traffic::confirmEnd(EndpointSighting engine)
+{
+    net::steady_timer timer(m_io, lossCollectionTime);
+    ErrorCode ec;
+    co_await timer.async_wait(awaitInto(ec));
+    auto report = co_await m_engines.report(engine.address, inquiryTimeout);
+    auto losses = std::move(m_losses.extract(engine.endpoint).mapped());
+    if (report && engine.endpoint.value().ends_with('@' + report->born))
+        co_return;
+    auto now = m_context.clock.now();
+    auto ageOf = [now](Instant at) { return std::chrono::ceil<milliseconds>(now - at); };
+    std::vector<PartEnd> ends;
+    for (const auto& loss : losses) {
+        for (uint32_t i = 0; i < loss.parts.size(); ++i)
+            ends.push_back(
+                { loss.parts[i], i, engine.endpoint, m_settings.host, ageOf(loss.sentAt), ageOf(loss.lostAt) });
+    }
+    bool isNew = m_parts.recordEnds(now, ends);
+    m_journal.write(LineKind::Warning, "engine-ended",
+        { { "endpoint", engine.endpoint.value() }, { "unbegun", losses.size() }, { "parts", ends.size() },
+            { "suspects", m_parts.suspects() }, { "is_news", isNew } });
+    if (isNew && m_control.postPartNews)
+        m_control.postPartNews();
+}
+
 void Traffic::moveAll(const EndpointId& silent, const std::string& headAddress, const std::vector<std::string>& wireIds)
 {
     m_journal.write(LineKind::Warning, "endpoint-silent",
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -17,6 +17,7 @@
     std::function<void(CoreInput)> postInput;
     std::function<void(const EndpointId&)> reportSilent; // An engine names this endpoint as not answering.
     std::function<void(EndpointNotice)> postNotice;
+    std::function<void()> postPartNews; // This daemon knows more about parts of prompts; see PromptParts.
 };
 
 // Age of the configuration, which the control thread writes and the traffic thread reads.
@@ -62,6 +63,8 @@
     void leave(const std::shared_ptr<ClientSession>&);
 
     bool isReady() const;
+    // Thread-safe.
+    PromptParts& parts() { return m_parts; }
 
 private:
     net::awaitable<void> acceptCallers();
@@ -69,11 +72,14 @@
     void serve(tcp::socket);
     net::awaitable<void> sweep();
     net::awaitable<void> inquire(EndpointSighting head);
+    void noteLoss(UnbegunLoss);
+    net::awaitable<void> confirmEnd(EndpointSighting engine);
     net::awaitable<void> finishDrain(std::function<void()> onIdle);
     void inquireSilent(Instant now);
     void moveAll(const EndpointId& silent, const std::string& headAddress, const std::vector<std::string>& wireIds);
     void noteReadiness();
     void noteDelay(Duration);
+    void noteBlockedParts();
 
     net::io_context& m_io;
     Journal& m_journal;
@@ -82,15 +88,18 @@
     EngineControl& m_engines;
     const ConfigurationAge& m_age;
     EndpointPool m_pool;
+    PromptParts m_parts;
     ExchangeContext m_context;
     tcp::acceptor m_acceptor;
     std::shared_ptr<const RoutingView> m_view; // Null before the first configuration.
     std::unordered_map<RequestId, std::shared_ptr<Exchange>> m_exchanges;
     std::set<std::shared_ptr<ClientSession>> m_sessions;
     std::unordered_map<std::string, Instant> m_inquiries; // By address of the head: when it was last asked.
+    std::map<EndpointId, std::vector<UnbegunLoss>> m_losses; // Whose engines are asked whether they ended.
     LoopWatch m_loopWatch;
     std::optional<Instant> m_drainedAt;
     std::optional<bool> m_wasReady; // As last logged.
+    size_t m_blockedParts = 0; // As last logged.
 };
 
 } // namespace jacinthspindle::router
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -111,7 +111,8 @@
         , m_traffic(m_trafficIo, clock, journal, m_metrics, settings.router,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
                   [this](const EndpointId& id) { m_control.reportSilent(id); },
-                  [this](router::EndpointNotice notice) { m_control.postNotice(std::move(notice)); } },
+                  [this](router::EndpointNotice notice) { m_control.postNotice(std::move(notice)); },
+                  [this] { m_control.postPartNews(); } },
               m_trafficEngines, m_age)
         , m_ready(m_trafficIo, router::immediately([this] {
             return router::TextAnswer { m_traffic.isReady() ? 200U : 503U, {} };
--- a/test/router/FatalPromptPartTest.cpp
+++ b/test/router/FatalPromptPartTest.cpp
@@ -20,7 +20,11 @@
         : m_router(router)
     {
         script.fatalPart = "bad";
-        script.onEnd = [this](const PausingEngine& it) { restart(it.address()); };
+        script.onEnd = [this](const PausingEngine& it) {
+            std::lock_guard lock(m_router.platform().mutex);
+            m_router.platform().reports.erase(it.address());
+        };
+        script.onRestart = [this](const PausingEngine& it) { restart(it.address()); };
         for (int i = 0; i < engines; ++i) {
             m_engines.emplace_back(script);
             auto endpoint = endpointAt("e" + std::to_string(i), "assistant", m_engines.back().address());
@@ -32,6 +36,7 @@
     }
 
     void start() { m_router.start(m_endpoints); }
+    const std::vector<router::EndpointSighting>& endpoints() const { return m_endpoints; }
 
     int ends() const
     {
@@ -88,8 +93,99 @@
     for (int i = 0; i < 12; ++i) {
         ask(router, "bad" + std::to_string(i), partsOf("bad", i));
         ask(router, "good" + std::to_string(i), partsOf("good", i));
+        // So far apart that the last one comes 3 s after the fifth end.
+        std::this_thread::sleep_for(400ms);
     }
     CHECK(engines.ends() <= mostEnds);
     // A sound request with the same caller and first part is served.
     CHECK(statusOf(ask(router, "last", partsOf("good", 99))) == 200);
+    auto refused = ask(router, "refused", partsOf("bad", 99));
+    CHECK(statusOf(refused) == 503);
+    // It would be refused again.
+    CHECK(headerOf(refused, "Retry-After") == "600.000");
+}
+
+// LOST in incident 2026-12-05: sound requests share all but the faulty part, the caller and the route with the others.
+TEST_CASE("sound requests are served at their first attempt beside a part under which engines end")
+{
+    RouterFixture router;
+    FragileEngines engines(router, 12);
+    engines.start();
+    int served = 0;
+    constexpr int rounds = 16;
+    for (int i = 0; i < rounds; ++i) {
+        auto n = std::to_string(i);
+        ask(router, "bad" + n, "f1:800,doc" + n + ":50,bad:410,a" + n + ":25");
+        served += statusOf(ask(router, "good" + n, "f1:800,doc" + n + ":50,b" + n + ":25")) == 200;
+        std::this_thread::sleep_for(200ms);
+    }
+    CHECK(served == rounds);
+    CHECK(engines.ends() <= mostEnds);
+}
+
+TEST_CASE("connections that are reset on the way block no part while the engines live")
+{
+    RouterFixture router;
+    ScriptedServer first("", AfterAnswer::Reset);
+    ScriptedServer second("", AfterAnswer::Reset);
+    for (const auto* it : { &first, &second }) {
+        router::EngineReport report;
+        report.born = "1";
+        router.platform().reports[it->address()] = report;
+    }
+    router.start({ endpointAt("e1", "assistant", first.address()), endpointAt("e2", "assistant", second.address()) });
+    for (int i = 0; i < 6; ++i)
+        ask(router, "r" + std::to_string(i), partsOf("good", i));
+    CHECK(router.logged("\"engine-ended\"").empty());
+    CHECK(router.traffic().parts().suspects() == 0);
+}
+
+TEST_CASE("a planned stop of an engine with a waiting request makes no part suspect")
+{
+    std::atomic<bool> isWaiting { false };
+    auto stop = [&](const std::string&) {
+        isWaiting = true;
+        std::this_thread::sleep_for(2s);
+        return std::string();
+    };
+    ScriptedServer engine(stop, AfterAnswer::Reset);
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", engine.address()) });
+    auto answer = std::async(std::launch::async, [&] { return ask(router, "r1", partsOf("good", 1)); });
+    REQUIRE(RouterFixture::eventually([&] { return isWaiting.load(); }));
+    {
+        std::lock_guard lock(router.platform().mutex);
+        router.platform().endpoints.front().isLeaving = true;
+    }
+    CHECK(statusOf(answer.get()) == 502);
+    std::this_thread::sleep_for(100ms);
+    CHECK(router.logged("\"engine-ended\"").empty());
+    CHECK(router.traffic().parts().suspects() == 0);
+}
+
+// BUDGET in incident 2026-12-05: ends in several data centres, and daemons that start again.
+TEST_CASE("a daemon that has just started keeps a part from the engines that others saw them end under")
+{
+    RouterFixture old("host-1", 100);
+    FragileEngines engines(old, 24);
+    old.platform().hosts = { old.peer() };
+    engines.start();
+    ask(old, "good", partsOf("good", 0));
+    for (int i = 0; i < 4; ++i) {
+        ask(old, "bad" + std::to_string(i), partsOf("bad", i));
+        std::this_thread::sleep_for(400ms);
+    }
+    auto bad = std::vector { router::promptPartOf("bad") };
+    router::BootClock clock;
+    REQUIRE(RouterFixture::eventually([&] { return old.traffic().parts().isBlocked(clock.now(), bad); }));
+    RouterFixture fresh("host-2", 100);
+    fresh.platform().hosts = { old.peer(), fresh.peer() };
+    fresh.start(engines.endpoints());
+    // Three requests more may reach engines 3 s after the fifth end.
+    for (int i = 0; i < 300 && !fresh.traffic().parts().isBlocked(clock.now(), bad); ++i)
+        std::this_thread::sleep_for(10ms);
+    int before = engines.ends();
+    CHECK(statusOf(ask(fresh, "late", partsOf("bad", 9))) == 503);
+    CHECK(engines.ends() == before);
+    CHECK(statusOf(ask(fresh, "sound", partsOf("good", 9))) == 200);
 }
--- a/test/support/PausingEngine.h
+++ b/test/support/PausingEngine.h
@@ -20,13 +20,16 @@
         std::chrono::milliseconds continuationDelay {}; // Between the head and the events of a continued stream.
         std::string fatalPart; // Empty: none ends the process.
         std::chrono::milliseconds firstDelay {}; // Between a request and the head of its answer.
-        std::function<void(const PausingEngine&)> onEnd; // Called when the process ends, which then starts again.
+        std::chrono::milliseconds downTime { 1500 }; // Before the process starts again.
+        std::function<void(const PausingEngine&)> onEnd;
+        std::function<void(const PausingEngine&)> onRestart;
     };
 
     explicit PausingEngine(Script script)
         : m_script(std::move(script))
         , m_socket(listenOnLoopback(m_name))
     {
+        allowReuse();
         listen(m_socket, 128);
         m_thread = std::thread([this] { accept(); });
     }
@@ -59,9 +62,35 @@
         return poll(&entry, 1, pollMilliseconds) > 0;
     }
 
+    void allowReuse() const
+    {
+        int yes = 1;
+        setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    }
+
+    // Connections are refused until the process has started again at the same address.
+    void restart()
+    {
+        close(m_socket);
+        auto end = std::chrono::steady_clock::now() + m_script.downTime;
+        while (!m_isStopping && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(std::chrono::milliseconds(pollMilliseconds));
+        m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        allowReuse();
+        if (bind(m_socket, reinterpret_cast<sockaddr*>(&m_name), sizeof m_name) == 0)
+            listen(m_socket, 128);
+        if (m_script.onRestart)
+            m_script.onRestart(*this);
+    }
+
     void accept()
     {
+        int ends = 0;
         while (!m_isStopping) {
+            if (m_ends != ends) {
+                ends = m_ends;
+                restart();
+            }
             if (!isReadable(m_socket))
                 continue;
             int socket = accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC);
@@ -103,9 +132,9 @@
 
     void endProcess(int socket)
     {
-        ++m_ends;
         if (m_script.onEnd)
             m_script.onEnd(*this);
+        ++m_ends;
         abort(socket);
     }
 
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -267,7 +267,8 @@
         , m_traffic(m_trafficIo, m_clock, m_journal, m_metrics, m_settings,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
                   [this](const EndpointId& id) { m_control.reportSilent(id); },
-                  [this](router::EndpointNotice notice) { m_control.postNotice(std::move(notice)); } },
+                  [this](router::EndpointNotice notice) { m_control.postNotice(std::move(notice)); },
+                  [this] { m_control.postPartNews(); } },
               m_engines, m_age)
         , m_peers(m_controlIo, [this](router::TextRequest request) { return m_control.answerPeer(std::move(request)); })
     {
