Read around odd rows of other writers

Report of other operators: one odd entry among those of the workers, and the machines that read the list ended or stopped following it. Here: - a range of layers up to 4,294,967,295 was taken; looking for another holder of each layer then holds the control thread up for minutes: nothing of the platform is followed meanwhile.

--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -40,6 +40,8 @@
         it.slots = internal::toNumber<uint32_t>(json[6]);
         it.isLeaving = json[7].get<bool>();
         it.layers = { internal::toNumber<uint32_t>(json[8]), internal::toNumber<uint32_t>(json[9]) };
+        if (it.layers.end > mostLayers)
+            throw internal::JsonError("expected a range of layers");
         it.heartbeats = internal::toNumber<uint64_t>(json[10]);
         it.pacePercent = internal::toNumber<uint32_t>(json[11]);
         return it;
--- a/src/router/Net.cpp
+++ b/src/router/Net.cpp
@@ -30,7 +30,7 @@
     ErrorCode ec;
     auto ip = net::ip::make_address(std::string(text.substr(0, colon)), ec);
     auto port = parseNumber<uint16_t>(text.substr(colon + 1));
-    if (ec || !port)
+    if (ec || !port || !*port)
         return std::nullopt;
     return tcp::endpoint(ip, *port);
 }
--- a/src/router/Ports.h
+++ b/src/router/Ports.h
@@ -34,6 +34,9 @@
     virtual Reason lastReason() const = 0;
 };
 
+// Layers that an endpoint may say it holds, as by the rules of the table: what looks at each of them must end.
+inline constexpr uint32_t mostLayers = 4096;
+
 // One endpoint as the platform lists it.
 struct EndpointSighting {
     EndpointId endpoint; // Names one start of the endpoint; a restart is another one.
