Refuse late in the grace what can't be finished, and answer the rest before the process ends

What callers saw: a request that came late in the grace of a planned stop was passed on and cut at the end without an answer; one that may not be repeated was lost (LOST).

Cause: nothing compared the time that was left with what a request may take, and the process ended with requests in progress.

The fix: once the balancer has had its time to notice, a request is passed on only if its deadline or its route's timeout comes before the end of the grace, so that an answer is certain; any other one gets 503 'not run' at once, and the connection's close. What is still at an endpoint at the end is answered 504 before the process ends.

--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -244,6 +244,8 @@
     auto callerWaits = parseNumber<uint32_t>(message[names.deadline]);
     auto deadline = callerWaits ? milliseconds(*callerWaits) : defaultDeadline;
     request.deadline = arrivedAt + std::min(deadline, route->timeout);
+    if (!m_traffic.canOutlast(request.deadline))
+        co_return co_await reject(ResultCode::ShuttingDown, 503, wireId, staleRetryAfter);
     request.lastEvent = parseNumber<uint64_t>(message[names.lastEvent]);
     readTokens(message[names.tokens], request);
     if (request.isModel)
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -58,6 +58,14 @@
     closeConnection();
 }
 
+void Exchange::expire()
+{
+    m_request.deadline = std::min(m_request.deadline, m_context.clock.now());
+    m_decisionTimer.cancel();
+    if (m_connection)
+        interrupt();
+}
+
 void Exchange::moveAway(const EndpointId& silent)
 {
     if (!m_connection || m_movedFrom || hasBytes(m_connection->stream.socket()))
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -86,6 +86,8 @@
     // Inputs from the traffic thread while run() is in progress.
     void decide(const CoreDecision&);
     void callerGone();
+    // The process ends: what has not begun is answered now.
+    void expire();
     // This endpoint of the running attempt is silent. The work goes on elsewhere once the core has dispatched another
     // attempt; until that one has delivered something, the silent one is kept.
     void moveAway(const EndpointId& silent);
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -20,6 +20,8 @@
     constexpr milliseconds balancerLag { 2500 };
     // Time to write the last answers before SIGKILL.
     constexpr milliseconds drainMargin { 400 };
+    // Of it, what the answers take to those requests that are given up.
+    constexpr milliseconds lastAnswerTime { 200 };
     // A daemon that cannot check keys for much longer is better left out by the balancer.
     constexpr milliseconds readyConfigurationAge { 3500 };
     constexpr milliseconds acceptPause { 50 };
@@ -315,6 +317,17 @@
     });
 }
 
+Instant Traffic::drainEnd() const
+{
+    return *m_drainedAt + m_settings.shutdownGrace - drainMargin;
+}
+
+// Until the balancer has noticed, callers have nowhere else to go.
+bool Traffic::canOutlast(Instant deadline) const
+{
+    return !isDraining() || m_context.clock.now() - *m_drainedAt < balancerLag || deadline <= drainEnd();
+}
+
 net::awaitable<void> Traffic::finishDrain(std::function<void()> onIdle)
 {
     net::steady_timer timer(m_io);
@@ -323,8 +336,7 @@
     co_await timer.async_wait(awaitInto(ec));
     acceptWaiting();
     m_acceptor.close(ec);
-    auto lastMoment = *m_drainedAt + m_settings.shutdownGrace - drainMargin;
-    while (m_context.clock.now() < lastMoment) {
+    while (m_context.clock.now() < drainEnd()) {
         // A session leaves the set while its coroutine ends, so that the set is copied.
         auto sessions = m_sessions;
         for (const auto& it : sessions)
@@ -334,8 +346,15 @@
         timer.expires_after(sweepInterval);
         co_await timer.async_wait(awaitInto(ec));
     }
+    auto exchanges = m_exchanges;
+    for (const auto& [id, exchange] : exchanges)
+        exchange->expire();
+    if (!exchanges.empty()) {
+        timer.expires_after(lastAnswerTime);
+        co_await timer.async_wait(awaitInto(ec));
+    }
     m_journal.write(LineKind::Info, "drained",
-        { { "in_progress", m_exchanges.size() }, { "took_ms", millisecondsOf(m_context.clock.now() - *m_drainedAt) } });
+        { { "in_progress", exchanges.size() }, { "took_ms", millisecondsOf(m_context.clock.now() - *m_drainedAt) } });
     onIdle();
 }
 
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -55,6 +55,8 @@
     const ExchangeContext& context() const { return m_context; }
     const std::shared_ptr<const RoutingView>& view() const { return m_view; }
     bool isDraining() const { return m_drainedAt.has_value(); }
+    // False when the process may end before a request with this deadline that arrives now.
+    bool canOutlast(Instant deadline) const;
     Duration configurationAge() const { return m_age.at(m_context.clock.now()); }
     // Registers a request under an identifier that no other one in progress has.
     RequestId uniqueId(const std::string& wireId) const;
@@ -75,6 +77,8 @@
     void noteLoss(UnbegunLoss);
     net::awaitable<void> confirmEnd(EndpointSighting engine);
     net::awaitable<void> finishDrain(std::function<void()> onIdle);
+    // Last moment of the grace at which answers can be expected; valid while draining.
+    Instant drainEnd() const;
     void inquireSilent(Instant now);
     void moveAll(const EndpointId& silent, const std::string& headAddress, const std::vector<std::string>& wireIds);
     void noteReadiness();
