Take no stream for whole that ends with its connection before its first event

What callers saw: 200 with a whole, empty stream, from an engine that ended after it had written its head, without length and chunks. The second engine was not asked, and the end of the engine counted for nothing.

Cause: an orderly end outside of an event counted as the end of the stream. Evidence: the new case of AnswerIntegrityTest is red on the code before (one request, no event), and passes now.

Such an answer without any event is a lost one now, repeated like others. It stays whole when the caller continues a stream, whose last event it may have. Open: an end behind a whole event in mid-stream looks like the last one.

--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -407,6 +407,9 @@
     }
     if (m_events.isInsideEvent())
         co_return broken("stream ended inside an event");
+    // Only the end of the connection ends such an answer, and an engine that ends looks the same.
+    if (!open.hasDelivered && parser.need_eof() && !m_events.lastId())
+        co_return broken("stream ended before its first event");
     events.clear();
     bool isReached = co_await sendEvents(header, events, open.number);
     if (!isReached)
--- a/test/router/AnswerIntegrityTest.cpp
+++ b/test/router/AnswerIntegrityTest.cpp
@@ -277,3 +277,22 @@
     CHECK(ended.ends_with("booked"));
     CHECK(statusOf(answerOf(AfterAnswer::Reset)) == 502);
 }
+
+// An engine that ends under a request writes its head first. The caller received a whole, empty answer.
+TEST_CASE("a stream without length and chunks that ends before its first event is not whole")
+{
+    std::atomic<int> requests { 0 };
+    auto engine = [&](const std::string& request) {
+        if (!requests++)
+            return "HTTP/1.1 200 OK\r\n" + identityOf(request) + "Content-Type: text/event-stream\r\n\r\n";
+        return wholeStream(request);
+    };
+    ScriptedServer first(engine);
+    ScriptedServer second(engine);
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", first.address()), endpointAt("e2", "assistant", second.address()) });
+    auto answer = router.send(requestText("POST", "/ask/1", "r1", "question"));
+    CHECK(requests == 2);
+    CHECK(answer.find(PausingEngine::event(1)) != std::string::npos);
+    CHECK(answer.ends_with("0\r\n\r\n"));
+}
