--- a/src/router/PartSharing.cpp
+++ b/src/router/PartSharing.cpp
@@ -120,6 +120,7 @@
         known.insert_or_assign(it.host, std::move(it));
     known.erase(m_self.host);
     std::vector<PeerHost> others;
+    others.reserve(known.size());
     for (auto& [host, peer] : known)
         others.push_back(std::move(peer));
     return others;
