--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -22,6 +22,7 @@
     constexpr milliseconds drainMargin { 400 };
     // Of it, what the answers take to those requests that are given up.
     constexpr milliseconds lastAnswerTime { 200 };
+    constexpr milliseconds lastAnswerPoll { 10 };
     // A daemon that cannot check keys for much longer is better left out by the balancer.
     constexpr milliseconds readyConfigurationAge { 3500 };
     constexpr milliseconds acceptPause { 50 };
@@ -349,8 +350,8 @@
     auto exchanges = m_exchanges;
     for (const auto& [id, exchange] : exchanges)
         exchange->expire();
-    if (!exchanges.empty()) {
-        timer.expires_after(lastAnswerTime);
+    for (auto time = milliseconds(0); !m_exchanges.empty() && time < lastAnswerTime; time += lastAnswerPoll) {
+        timer.expires_after(lastAnswerPoll);
         co_await timer.async_wait(awaitInto(ec));
     }
     m_journal.write(LineKind::Info, "drained",
