--- a/test/fleet/StoreStandIn.cpp
+++ b/test/fleet/StoreStandIn.cpp
@@ -67,6 +67,13 @@
     m_rows[{ table, key }] = { value, ++m_version };
 }
 
+void StoreStandIn::remove(const std::string& table, const std::string& key)
+{
+    std::lock_guard lock(m_mutex);
+    m_rows.erase({ table, key });
+    ++m_version;
+}
+
 router::net::awaitable<TextAnswer> StoreStandIn::answer(router::TextRequest request)
 {
     if (m_isAway)
--- a/test/fleet/StoreStandIn.h
+++ b/test/fleet/StoreStandIn.h
@@ -20,8 +20,9 @@
 
     // Empty, or why the address could not be opened.
     const std::string& problem() const { return m_problem; }
-    // Writes a row as the operator or an endpoint does. May be called from any thread, like setAway().
+    // Writes a row as the operator or an endpoint does. May be called from any thread, like remove() and setAway().
     void put(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
     // While it is away, each call is answered with 503.
     void setAway(bool isAway) { m_isAway = isAway; }
 
