Take no engine for ended that answers no inquiry for a moment

What callers saw: sound requests got 503 "not run", with a Retry-After of ten minutes, though no engine had ended. Connections to four engines had been reset, and the engines paused when they were asked afterwards.

Cause: an inquiry without an answer within 0.35 s counted as the end of the engine, so that the parts of the requests' prompts became suspects and, after three engines, were blocked. Silence was taken for an end: the same class.

Evidence: the new case of FatalPromptPartTest is red on the code before (503 where the engines' reset gives 502, a suspect, and `engine-ended` in the log).

Now an end needs a proof: the address refuses connections, another engine answers there, or nothing answers for 2 s. An address that takes connections proves nothing. `engine-ended` names the proof.

--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -274,15 +274,35 @@
         net::co_spawn(m_io, confirmEnd(std::move(engine)), net::detached);
 }
 
-// A lost connection proves nothing: it may have been reset on the way.
+// Returns what proves that the engine has ended, or null. A lost connection proves nothing, since it may have been
+// reset on the way, nor does an inquiry without an answer: a sound engine may be silent.
+net::awaitable<const char*> Traffic::findProofOfEnd(EndpointSighting engine)
+{
+    net::steady_timer timer(m_io);
+    auto end = m_context.clock.now() + longestSoundSilence;
+    while (true) {
+        auto report = co_await m_engines.report(engine.address, inquiryTimeout);
+        if (report)
+            co_return engine.endpoint.value().ends_with('@' + report->born) ? nullptr : "restarted";
+        beast::tcp_stream stream(m_io);
+        auto ec = co_await connectTo(stream, engine.address, inquiryTimeout);
+        if (ec == net::error::connection_refused)
+            co_return "refused";
+        if (m_context.clock.now() >= end)
+            co_return ec ? "silent" : nullptr;
+        timer.expires_after(inquiryInterval);
+        co_await timer.async_wait(awaitInto(ec));
+    }
+}
+
 net::awaitable<void> Traffic::confirmEnd(EndpointSighting engine)
 {
     net::steady_timer timer(m_io, lossCollectionTime);
     ErrorCode ec;
     co_await timer.async_wait(awaitInto(ec));
-    auto report = co_await m_engines.report(engine.address, inquiryTimeout);
+    const char* proof = co_await findProofOfEnd(engine);
     auto losses = std::move(m_losses.extract(engine.endpoint).mapped());
-    if (report && engine.endpoint.value().ends_with('@' + report->born))
+    if (!proof)
         co_return;
     auto now = m_context.clock.now();
     auto ageOf = [now](Instant at) { return std::chrono::ceil<milliseconds>(now - at); };
@@ -294,8 +314,8 @@
     }
     bool isNew = m_parts.recordEnds(now, ends);
     m_journal.write(LineKind::Warning, "engine-ended",
-        { { "endpoint", engine.endpoint.value() }, { "unbegun", losses.size() }, { "parts", ends.size() },
-            { "suspects", m_parts.suspects() }, { "is_news", isNew } });
+        { { "endpoint", engine.endpoint.value() }, { "proof", proof }, { "unbegun", losses.size() },
+            { "parts", ends.size() }, { "suspects", m_parts.suspects() }, { "is_news", isNew } });
     if (isNew && m_control.postPartNews)
         m_control.postPartNews();
 }
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -76,6 +76,7 @@
     net::awaitable<void> inquire(EndpointSighting head);
     void noteLoss(UnbegunLoss);
     net::awaitable<void> confirmEnd(EndpointSighting engine);
+    net::awaitable<const char*> findProofOfEnd(EndpointSighting engine);
     net::awaitable<void> finishDrain(std::function<void()> onIdle);
     // Last moment of the grace at which answers can be expected; valid while draining.
     Instant drainEnd() const;
--- a/test/router/FatalPromptPartTest.cpp
+++ b/test/router/FatalPromptPartTest.cpp
@@ -141,6 +141,32 @@
     CHECK(router.traffic().parts().suspects() == 0);
 }
 
+// LOST: sound requests were refused, because engines paused after connections to them had been reset.
+TEST_CASE("engines that pause after their connections were reset are not taken for ended ones")
+{
+    RouterFixture router;
+    std::list<ScriptedServer> engines;
+    std::vector<router::EndpointSighting> endpoints;
+    for (int i = 0; i < 4; ++i) {
+        engines.emplace_back("", AfterAnswer::Reset);
+        endpoints.push_back(endpointAt("e" + std::to_string(i), "assistant", engines.back().address()));
+    }
+    router.start(endpoints);
+    for (int i = 0; i < 6; ++i) {
+        ask(router, "r" + std::to_string(i), partsOf("good", i));
+        std::this_thread::sleep_for(200ms);
+    }
+    CHECK(statusOf(ask(router, "last", partsOf("good", 9))) == 502);
+    {
+        std::lock_guard lock(router.platform().mutex);
+        for (const auto& it : engines)
+            router.platform().reports[it.address()].born = "1";
+    }
+    std::this_thread::sleep_for(500ms);
+    CHECK(router.logged("\"engine-ended\"").empty());
+    CHECK(router.traffic().parts().suspects() == 0);
+}
+
 TEST_CASE("a planned stop of an engine with a waiting request makes no part suspect")
 {
     std::atomic<bool> isWaiting { false };
