Take the life of silent engines from inquiries alone, and go on asking

Now the traffic thread keeps the silent heads, dated from the first inquiry without an answer, and asks them for 10 s, whichever attempt is running; an answer of the same start clears the mark, and one of a successor does not. The state that each request kept for this is gone. Only a timeout proves an end by silence, and no local error.

The fleet's tests report endpoints that end by themselves and logs that cannot be read, as they did before the endpoints were processes.

--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -82,14 +82,6 @@
     m_context.postInput(AttemptStalled { m_request.id, m_attempt, silent, position() });
 }
 
-void Exchange::noteInquiry(bool isAnswered)
-{
-    if (isAnswered || hasBytes(m_connection->stream.socket()))
-        m_silentHeads.erase(m_head.endpoint);
-    else
-        m_silentHeads.try_emplace(m_head.endpoint, m_progressAt);
-}
-
 void Exchange::followStandby()
 {
     if (!m_connection)
@@ -351,15 +343,7 @@
 
 size_t Exchange::countedHeads() const
 {
-    auto isUncounted = [this](const EndpointId& it) { return m_lostHeads.contains(it) || isLost(it); };
-    return m_heads.size() - static_cast<size_t>(std::count_if(m_heads.begin(), m_heads.end(), isUncounted));
-}
-
-bool Exchange::isLost(const EndpointId& head) const
-{
-    auto silent = m_silentHeads.find(head);
-    return silent != m_silentHeads.end() && m_context.clock.now() - silent->second >= longestSoundSilence
-        && !m_context.currentView()->findEndpoint(head);
+    return m_heads.size() - static_cast<size_t>(std::count_if(m_heads.begin(), m_heads.end(), m_context.isLost));
 }
 
 net::awaitable<ExchangeEnd> Exchange::refuse(const Refuse& refused)
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -11,7 +11,6 @@
 
 #include <array>
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 
@@ -47,6 +46,7 @@
     std::function<void(CoreInput)> postInput; // To the decision core.
     std::function<void(EndpointNotice)> postNotice; // To the control thread.
     std::function<std::shared_ptr<const RoutingView>()> currentView;
+    std::function<bool(const EndpointId&)> isLost; // The endpoint has ended or is cut off; see Traffic.
     std::function<Duration()> recentDelay; // Longest delay of the event loop just before; see LoopWatch.
     PromptParts& parts;
     std::function<void(UnbegunLoss)> noteLoss;
@@ -92,8 +92,6 @@
     // This endpoint of the running attempt is silent. The work goes on elsewhere once the core has dispatched another
     // attempt; until that one has delivered something, the silent one is kept.
     void moveAway(const EndpointId& silent);
-    // The endpoint of the running attempt was asked whether it lives.
-    void noteInquiry(bool isAnswered);
     // Called periodically: returns to the stream that was set aside when it has gone on first.
     void followStandby();
     // The process was held up for this long, in which no endpoint could show progress.
@@ -163,12 +161,6 @@
     net::awaitable<AttemptResult> receive(OpenAttempt&);
     // Keeps the connection of an attempt that has ended, or drops it.
     void settle(OpenAttempt, const AttemptResult&);
-    // Closes an attempt that was set aside; its endpoint counts unless it is lost by now.
-    void drop(const OpenAttempt&);
-    void dropStandby();
-    // An endpoint that has left the list may be at work, since some leave without a word. It has ended, or is cut off,
-    // if it has besides been silent for longer than a sound one is.
-    bool isLost(const EndpointId&) const;
     net::awaitable<std::unique_ptr<EndpointConnection>> acquire(const EndpointSighting&);
     net::awaitable<bool> writeRequest(EndpointConnection&, std::string chain);
     net::awaitable<bool> readOwnHeader(OpenAttempt&);
@@ -238,9 +230,6 @@
 
     uint32_t m_sends = 0; // Attempts that were sent.
     std::set<EndpointId> m_heads; // Endpoints to which the request was sent.
-    // Those of m_heads that answered no inquiry and have not delivered anything since, with the begin of their silence.
-    std::map<EndpointId, Instant> m_silentHeads;
-    std::set<EndpointId> m_lostHeads; // Those of m_heads that were lost when their attempts were dropped.
     const char* m_noRepeat = ""; // Why no further attempt was made, for the log.
     bool m_wasSilent = false; // The last attempt was ended by this daemon because an endpoint was silent.
     std::optional<Instant> m_byteAt; // When the last byte of an endpoint arrived.
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -56,7 +56,7 @@
     m_context.metrics.add(daemon::Counter::AttemptsStarted);
     // The same head would not tell the two runs apart.
     if (m_standby && !m_standby->hasDelivered && m_standby->head.endpoint == first)
-        dropStandby();
+        m_standby.reset();
     OpenAttempt open;
     open.number = dispatch.attempt;
     open.head = m_head;
@@ -126,11 +126,10 @@
         m_context.noteLoss({ open.head, m_request.parts, open.sentAt, m_context.clock.now() });
     if (result.end == AttemptEnd::SetAside) {
         // Of two attempts, the one is kept from which the caller has received something.
-        if (m_standby && !open.hasDelivered)
-            return drop(open);
-        dropStandby();
-        open.partialEvent = m_events.takePartialEvent();
-        m_standby = std::move(open);
+        if (!m_standby || open.hasDelivered) {
+            open.partialEvent = m_events.takePartialEvent();
+            m_standby = std::move(open);
+        }
         return;
     }
     // A refusal or a failure that the endpoint writes once more could answer the same request when it is repeated.
@@ -141,21 +140,6 @@
         m_context.pool.giveBack(std::move(open.connection), idleLimitOf(open.parser->get().base()));
 }
 
-void Exchange::drop(const OpenAttempt& open)
-{
-    const auto& head = open.head.endpoint;
-    if (isLost(head) && !hasBytes(open.connection->stream.socket()))
-        m_lostHeads.insert(head);
-    m_silentHeads.erase(head);
-}
-
-void Exchange::dropStandby()
-{
-    if (m_standby)
-        drop(*m_standby);
-    m_standby.reset();
-}
-
 bool Exchange::isInterrupted(EndpointConnection& connection) const
 {
     return m_movedFrom && !m_isCallerGone && connection.stream.socket().is_open();
@@ -409,8 +393,7 @@
         if (!open.hasDelivered)
             m_context.parts.recordBegin(m_progressAt, m_request.parts);
         open.hasDelivered = true;
-        m_silentHeads.erase(m_head.endpoint);
-        dropStandby();
+        m_standby.reset();
         if (m_returning) {
             m_returning.reset();
             m_movedFrom.reset();
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -30,6 +30,14 @@
     constexpr milliseconds lossCollectionTime { 10 };
     // Part of the silence after which an endpoint is asked.
     constexpr milliseconds loggedDelay = silenceBeforeInquiry / 2;
+    // Longer than streams usually last; afterwards a lost endpoint counts again for those that remember it.
+    constexpr std::chrono::seconds silentHeadMemory { 10 };
+
+    // False when another endpoint has started at the address.
+    bool isSameStart(const EndpointSighting& endpoint, const EngineReport& report)
+    {
+        return endpoint.endpoint.value().ends_with('@' + report.born);
+    }
 
 } // namespace
 
@@ -43,7 +51,7 @@
     , m_age(age)
     , m_pool(io.get_executor(), clock)
     , m_context { io.get_executor(), clock, journal, metrics, m_pool, settings, m_control.postInput,
-        m_control.postNotice, [this] { return m_view; },
+        m_control.postNotice, [this] { return m_view; }, [this](const EndpointId& id) { return isLost(id); },
         [this] { return m_loopWatch.longestDelay(m_context.clock.now()); }, m_parts,
         [this](UnbegunLoss loss) { noteLoss(std::move(loss)); } }
     , m_acceptor(io)
@@ -216,17 +224,41 @@
         if (exchange->isStalled()) {
             // The head lives and names no silent stage, but the caller is about to leave.
             exchange->moveAway(exchange->head()->endpoint);
-            continue;
         }
-        auto& askedAt = m_inquiries[exchange->head()->address];
-        if (now - askedAt < inquiryInterval + inquiryTimeout)
-            continue;
-        askedAt = now;
-        net::co_spawn(m_io, inquire(*exchange->head()), net::detached);
+        beginInquiry(now, *exchange->head());
     }
+    std::erase_if(m_silentHeads, [&](const auto& it) { return now - it.second.since > silentHeadMemory; });
+    // An answer that comes at once removes its endpoint, so that the map is copied.
+    auto silentHeads = m_silentHeads;
+    for (const auto& [id, silent] : silentHeads)
+        beginInquiry(now, silent.head);
     std::erase_if(m_inquiries, [&](const auto& it) { return now - it.second > std::chrono::seconds(10); });
 }
 
+void Traffic::beginInquiry(Instant now, const EndpointSighting& head)
+{
+    auto& askedAt = m_inquiries[head.address];
+    if (now - askedAt < inquiryInterval + inquiryTimeout)
+        return;
+    askedAt = now;
+    net::co_spawn(m_io, inquire(head), net::detached);
+}
+
+void Traffic::noteInquiry(const EndpointSighting& head, Instant askedAt, bool isAnswered)
+{
+    if (isAnswered)
+        m_silentHeads.erase(head.endpoint);
+    else
+        m_silentHeads.try_emplace(head.endpoint, SilentHead { head, askedAt });
+}
+
+bool Traffic::isLost(const EndpointId& id) const
+{
+    auto silent = m_silentHeads.find(id);
+    return silent != m_silentHeads.end() && m_context.clock.now() - silent->second.since >= longestSoundSilence
+        && !m_view->findEndpoint(id);
+}
+
 // Asks the head of chains which endpoints it waits for.
 net::awaitable<void> Traffic::inquire(EndpointSighting head)
 {
@@ -235,23 +267,17 @@
     // After a delay of this process the answer may lie unread.
     if (!report && m_context.clock.now() - askedAt >= inquiryTimeout + LoopWatch::leastDelay)
         co_return;
+    noteInquiry(head, askedAt, report && isSameStart(head, *report));
     if (!report) {
         std::vector<std::string> waiting;
         for (const auto& [id, exchange] : m_exchanges) {
-            if (!exchange->head() || exchange->head()->endpoint != head.endpoint
-                || !exchange->isSilentFor(silenceOfHead))
-                continue;
-            exchange->noteInquiry(false);
-            waiting.push_back(exchange->wireId());
+            if (exchange->head() && exchange->head()->endpoint == head.endpoint && exchange->isSilentFor(silenceOfHead))
+                waiting.push_back(exchange->wireId());
         }
         if (!waiting.empty())
             moveAll(head.endpoint, head.address, waiting);
         co_return;
     }
-    for (const auto& [id, exchange] : m_exchanges) {
-        if (exchange->head() && exchange->head()->endpoint == head.endpoint)
-            exchange->noteInquiry(true);
-    }
     std::unordered_map<std::string, std::vector<std::string>> byAddress;
     for (const auto& it : report->stalled)
         byAddress[it.address].push_back(it.request.value());
@@ -283,13 +309,13 @@
     while (true) {
         auto report = co_await m_engines.report(engine.address, inquiryTimeout);
         if (report)
-            co_return engine.endpoint.value().ends_with('@' + report->born) ? nullptr : "restarted";
+            co_return isSameStart(engine, *report) ? nullptr : "restarted";
         beast::tcp_stream stream(m_io);
         auto ec = co_await connectTo(stream, engine.address, inquiryTimeout);
         if (ec == net::error::connection_refused)
             co_return "refused";
         if (m_context.clock.now() >= end)
-            co_return ec ? "silent" : nullptr;
+            co_return ec == beast::error::timeout ? "silent" : nullptr;
         timer.expires_after(inquiryInterval);
         co_await timer.async_wait(awaitInto(ec));
     }
--- a/test/fleet/Endpoints.cpp
+++ b/test/fleet/Endpoints.cpp
@@ -149,12 +149,16 @@
     });
 }
 
-std::map<std::string, RequestRuns> Endpoints::runs() const
+std::map<std::string, RequestRuns> Endpoints::runs()
 {
     std::map<std::string, RequestRuns> runs;
     for (const auto& endpoint : m_endpoints) {
+        if (endpoint.process && !endpoint.process->isRunning())
+            m_problems.push_back("an endpoint ended by itself: " + endpoint.starts.back().log);
         for (const auto& start : endpoint.starts) {
             std::ifstream log(start.log);
+            if (!log)
+                m_problems.push_back("cannot read which requests began: " + start.log);
             for (std::string id; std::getline(log, id);) {
                 ++runs[id].begun;
                 if (start.endedAt)
--- a/test/fleet/Endpoints.h
+++ b/test/fleet/Endpoints.h
@@ -38,8 +38,10 @@
     void poll();
 
     size_t engines() const { return m_endpoints.size() - 1; }
+    // Processes that ended by themselves, and logs that cannot be read; valid after runs().
+    const std::vector<std::string>& problems() const { return m_problems; }
     // By the request's identifier; valid after all requests have ended.
-    std::map<std::string, RequestRuns> runs() const;
+    std::map<std::string, RequestRuns> runs();
 
 private:
     struct Start {
@@ -71,6 +73,7 @@
     std::vector<Endpoint> m_endpoints;
     std::map<std::string, Steady::time_point>
         m_expiries; // By row: when the platform drops it, since its engine is dead.
+    std::vector<std::string> m_problems;
     uint64_t m_heartbeats = 0;
     Steady::time_point m_heartbeatAt {};
 };
--- a/test/fleet/Fleet.cpp
+++ b/test/fleet/Fleet.cpp
@@ -348,6 +348,7 @@
     auto runs = m_endpoints->runs();
     std::map<std::string, size_t> counts;
     auto broken = m_broken;
+    broken.insert(broken.end(), m_endpoints->problems().begin(), m_endpoints->problems().end());
     m_requests = outcomes.size();
     size_t excesses = 0;
     for (const auto& it : outcomes) {
--- a/test/router/FatalPromptPartTest.cpp
+++ b/test/router/FatalPromptPartTest.cpp
@@ -97,6 +97,7 @@
         std::this_thread::sleep_for(400ms);
     }
     CHECK(engines.ends() <= mostEnds);
+    CHECK_FALSE(router.logged("\"proof\":\"refused\"").empty());
     // A sound request with the same caller and first part is served.
     CHECK(statusOf(ask(router, "last", partsOf("good", 99))) == 200);
     auto refused = ask(router, "refused", partsOf("bad", 99));
--- a/test/router/SilentEngineTest.cpp
+++ b/test/router/SilentEngineTest.cpp
@@ -208,6 +208,12 @@
         std::lock_guard lock(router.platform().mutex);
         std::erase_if(router.platform().endpoints, [&](const auto& it) { return it.address == leaving->address(); });
     }
+    REQUIRE(RouterFixture::eventually([&] { return received() == 2; }));
+    {
+        // It goes on.
+        std::lock_guard lock(router.platform().mutex);
+        router.platform().reports[leaving->address()].born = "1";
+    }
     whole.wait();
     CHECK(received() == 2);
 }
