--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -399,12 +399,11 @@
     return out;
 }
 
-inline bool answerJson(Connection& connection, int status, const Json& json)
+inline bool answerJson(Connection& connection, int status, const Json& json, const std::string& header = {})
 {
     auto body = json.dump();
-    return connection.send("HTTP/1.1 " + std::to_string(status)
-        + " Status\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-        + body);
+    return connection.send("HTTP/1.1 " + std::to_string(status) + " Status\r\nContent-Type: application/json\r\n"
+        + header + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
 // The platform's store: rows in tables, a feed of their changes, and conditional transactions.
@@ -421,9 +420,54 @@
     void put(const std::string& table, const std::string& key, const Json& value)
     {
         std::lock_guard lock(m_mutex);
-        set(table, key, value.dump(), ++m_version);
+        if (!m_isAway)
+            set(table, key, value.dump(), ++m_version);
     }
 
+    // All rows, with the version that the store had then.
+    struct Copy {
+        std::map<std::tuple<std::string, std::string, std::string>, std::pair<std::string, uint64_t>> rows;
+        uint64_t version = 0;
+    };
+
+    Copy copy()
+    {
+        std::lock_guard lock(m_mutex);
+        Copy copy { {}, m_version };
+        for (const auto& [key, row] : m_rows)
+            copy.rows[key] = { row.value, row.version };
+        return copy;
+    }
+
+    // The store ends. Nothing can be written until it returns.
+    void leave()
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_isAway = true;
+            m_changed.notify_all();
+        }
+        m_server.stop();
+    }
+
+    // The store comes back from the copy, in the next era.
+    void comeBack(const Copy& copy)
+    {
+        {
+            std::lock_guard lock(m_mutex);
+            m_rows.clear();
+            for (const auto& [key, row] : copy.rows)
+                m_rows[key] = { row.first, row.second };
+            m_version = copy.version;
+            std::erase_if(m_changes, [&](const Change& it) { return it.version > m_version; });
+            ++m_era;
+        }
+        m_isAway = false;
+        m_server.start();
+    }
+
+    bool isAway() const { return m_isAway; }
+
     void remove(const std::string& table, const std::string& key)
     {
         std::lock_guard lock(m_mutex);
@@ -471,6 +515,11 @@
         return query;
     }
 
+    bool reply(Connection& connection, int status, const Json& json) const
+    {
+        return !m_isAway && answerJson(connection, status, json, "Store-Era: " + std::to_string(m_era) + "\r\n");
+    }
+
     Json rowJson(const std::string& table, const std::string& key, const Row& row) const
     {
         return { { "table", table }, { "part", "" }, { "key", key }, { "value", encodeBase64(row.value) },
@@ -494,7 +543,7 @@
             return get(connection, query);
         if (target.starts_with("/jacinthspindle/rows-feed"))
             return feed(connection, query);
-        return answerJson(connection, 404, Json::object());
+        return reply(connection, 404, Json::object());
     }
 
     bool get(Connection& connection, std::map<std::string, std::string>& query)
@@ -513,7 +562,7 @@
         }
         auto answer = rowsJson(std::move(rows), hasMore);
         lock.unlock();
-        return answerJson(connection, 200, answer);
+        return reply(connection, 200, answer);
     }
 
     bool feed(Connection& connection, std::map<std::string, std::string>& query)
@@ -522,7 +571,11 @@
         auto until = Clock::now() + milliseconds(std::stoul("0" + query["waitMs"]));
         std::unique_lock lock(m_mutex);
         auto isNews = [&](const Change& it) { return it.table == query["table"] && it.version > since; };
-        while (std::none_of(m_changes.begin(), m_changes.end(), isNews)) {
+        if (since > m_version) {
+            lock.unlock();
+            return reply(connection, 410, Json::object());
+        }
+        while (!m_isAway && std::none_of(m_changes.begin(), m_changes.end(), isNews)) {
             if (m_changed.wait_until(lock, until) == std::cv_status::timeout)
                 break;
         }
@@ -539,7 +592,7 @@
         }
         auto answer = rowsJson(std::move(rows), false);
         lock.unlock();
-        return answerJson(connection, 200, answer);
+        return reply(connection, 200, answer);
     }
 
     bool commit(Connection& connection, const std::string& body)
@@ -550,7 +603,7 @@
             auto found = m_rows.find({ it["table"], it["part"], it["key"] });
             if ((found == m_rows.end() ? 0 : found->second.version) != it["rowVersion"].get<uint64_t>()) {
                 lock.unlock();
-                return answerJson(connection, 412, { { "rows", Json::array() } });
+                return reply(connection, 412, { { "rows", Json::array() } });
             }
         }
         ++m_version;
@@ -558,7 +611,7 @@
             set(it["table"], it["key"], decodeBase64(it["value"]), m_version);
         Json answer { { "rowVersion", m_version }, { "nowMs", 0 } };
         lock.unlock();
-        return answerJson(connection, 200, answer);
+        return reply(connection, 200, answer);
     }
 
     std::mutex m_mutex;
@@ -566,6 +619,8 @@
     std::map<Key, Row> m_rows;
     std::vector<Change> m_changes;
     uint64_t m_version = 0;
+    std::atomic<uint64_t> m_era = 1;
+    std::atomic<bool> m_isAway = false;
     Server m_server; // The last member: its threads use the others.
 };
 
@@ -616,6 +671,14 @@
         }).detach();
     }
 
+    // The worker leaves: its entry is removed and not written any more, and it goes on serving.
+    void withdraw()
+    {
+        m_isWriting = false;
+        m_store.remove("servers", m_id);
+        m_isListed = false;
+    }
+
     const std::string& id() const { return m_id; }
     uint64_t born() const { return m_born; }
     std::string address() const { return m_server.address(); }
@@ -636,7 +699,7 @@
         for (uint64_t sequence = 1; m_isRunning; ++sequence) {
             while (m_isRunning && Clock::now() < at)
                 sleepFor(milliseconds(5));
-            if (!m_isRunning)
+            if (!m_isRunning || !m_isWriting)
                 return;
             Json value;
             {
@@ -659,10 +722,76 @@
     Server m_server;
     std::atomic<bool> m_isRunning = false;
     std::atomic<bool> m_isListed = false;
+    std::atomic<bool> m_isWriting = true;
     Clock::time_point m_lastBeat = Clock::now();
     std::thread m_thread;
 };
 
+// A worker of a plain service: serves `slots` requests at a time and lets as many others wait as come.
+class PlainWorker : public Worker {
+public:
+    struct Run {
+        std::string request; // X-Attempt-Id.
+        Clock::time_point arrivedAt;
+        Message message;
+    };
+
+    PlainWorker(Store& store, const std::string& id, const std::string& service, const std::string& ip,
+        milliseconds work, int slots = 6)
+        : Worker(store, id, { { "service", service }, { "zone", "z1" }, { "slots", slots } }, ip,
+            [this](Connection& c, const Message& m) { return handle(c, m); })
+        , m_work(work)
+    {
+    }
+    ~PlainWorker() override { crash(); }
+
+    // All answers say from now on that the worker leaves.
+    void setLeaving() { m_isLeaving = true; }
+    std::vector<Run> runs()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_runs;
+    }
+
+private:
+    // Headers of all answers.
+    std::string common(const Message& message) const
+    {
+        return "X-Attempt-Id: " + message.header("x-attempt-id") + "\r\nX-Instance-Id: " + id() + "\r\n"
+            + (m_isLeaving ? "Server-Leaving: 1\r\nConnection: close\r\n" : "");
+    }
+
+    bool handle(Connection& connection, const Message& message)
+    {
+        auto arrivedAt = Clock::now();
+        const std::string empty = "Content-Length: 0\r\n\r\n";
+        auto expected = message.header("x-expect-instance");
+        if (!expected.empty() && expected != id())
+            return connection.send("HTTP/1.1 421 Misdirected Request\r\n" + common(message) + empty);
+        if (message.target() == "/healthz")
+            return connection.send(
+                (m_isLeaving ? "HTTP/1.1 503 Leaving\r\n" : "HTTP/1.1 200 OK\r\n") + common(message) + empty);
+        if (message.header("x-attempt-id").empty())
+            return connection.send("HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\n" + empty);
+        {
+            std::lock_guard lock(m_mutex);
+            auto kept = message;
+            kept.body = std::to_string(message.body.size()) + " bytes";
+            m_runs.push_back({ message.header("x-attempt-id"), arrivedAt, std::move(kept) });
+        }
+        sleepFor(m_work);
+        bool hasBody = !message.target().starts_with("/empty/");
+        std::string body = hasBody ? "answer to " + message.header("x-attempt-id") + '\n' : "";
+        auto header = "HTTP/1.1 200 OK\r\n" + common(message) + "X-Response-Signature: " + id() + '.'
+            + message.header("x-attempt-id") + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        return connection.send(message.method() == "HEAD" ? header : header + body) && !m_isLeaving;
+    }
+
+    const milliseconds m_work;
+    std::atomic<bool> m_isLeaving = false;
+    std::vector<Run> m_runs;
+};
+
 // A daemon of the deploy file, as a process of its own.
 class Daemon {
 public:
@@ -677,7 +806,8 @@
     ~Daemon()
     {
         kill(SIGKILL);
-        std::filesystem::remove_all(m_folder);
+        if (!std::getenv("KEEP_LOGS"))
+            std::filesystem::remove_all(m_folder);
     }
 
     void start()
