--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -466,7 +466,12 @@
         m_server.start();
     }
 
-    bool isAway() const { return m_isAway; }
+    // The store comes back as it was.
+    void comeBack()
+    {
+        m_isAway = false;
+        m_server.start();
+    }
 
     void remove(const std::string& table, const std::string& key)
     {
