--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -151,6 +151,7 @@
         auto n = ::recv(m_fd, chunk, sizeof chunk, 0);
         if (n <= 0) {
             m_hasEnded = true;
+            m_wasReset = n < 0;
             return false;
         }
         m_buffer.append(chunk, static_cast<size_t>(n));
@@ -184,11 +185,14 @@
 
     const std::string& buffered() const { return m_buffer; }
     bool hasEnded() const { return m_hasEnded; }
+    // A close with unread bytes resets the connection.
+    bool wasReset() const { return m_wasReset; }
 
 private:
     int m_fd;
     std::string m_buffer;
     bool m_hasEnded = false;
+    bool m_wasReset = false;
 };
 
 // A request or an answer.
