--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -147,7 +147,7 @@
     store.put("op", "config", configurationOf(0));
     PlainWorker worker(store, "i-w1", "catalogue", ipOf(51), milliseconds(30), 64);
     worker.start();
-    Daemon daemon("front-1", ipOf(10), proxy.address(), ipOf(10));
+    auto& daemon = *new Daemon("front-1", ipOf(10), proxy.address(), ipOf(10));
     daemon.start();
     daemon.awaitReady();
     sleepFor(milliseconds(1500));
@@ -187,5 +187,5 @@
     }
     record().write(
         "refused: " + std::to_string(refused) + "; run with a key that was taken away: " + std::to_string(late));
-    std::_Exit(late ? 1 : 0);
+    leave(late ? 1 : 0);
 }
--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -26,6 +26,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -70,13 +71,26 @@
     return it;
 }
 
+// What ends the daemons and removes their folders; the script leaves by leave() only.
+inline std::vector<std::function<void()>>& cleanups()
+{
+    static std::vector<std::function<void()>> it;
+    return it;
+}
+
+[[noreturn]] inline void leave(int status)
+{
+    for (const auto& it : cleanups())
+        it();
+    std::_Exit(status);
+}
+
 // The script cannot run here.
 [[noreturn]] inline void cannotRun(const std::string& why)
 {
     record().write("cannot run: " + why);
     std::cerr << "cannot run: " << why << '\n';
-    ::kill(0, 0);
-    std::_Exit(2);
+    leave(2);
 }
 
 inline bool hasTrouble()
@@ -811,13 +825,12 @@
         m_folder = std::filesystem::temp_directory_path() / ("review-" + std::to_string(::getpid()) + '-' + m_name);
         std::filesystem::create_directories(m_folder);
         std::ofstream(m_folder / "settings.json") << settings(storeAddress, seedIp).dump(2);
-    }
-    ~Daemon()
-    {
-        kill(SIGKILL);
-        if (!std::getenv("KEEP_LOGS"))
+        cleanups().push_back([this] {
+            kill(SIGKILL);
             std::filesystem::remove_all(m_folder);
+        });
     }
+    ~Daemon() = delete; // See cleanups(), which refer to it.
 
     void start()
     {
@@ -827,6 +840,8 @@
         if (m_pid < 0)
             cannotRun("no process can be started");
         if (!m_pid) {
+            // Also if the script itself is killed.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(fd, 1);
             ::dup2(fd, 2);
