--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,5 @@
-// A daemon is cut off from the store for longer than revokeMs, and a key is taken away meanwhile. Checks that no
-// request runs with the key that was sent later than revokeMs after the acknowledgement.
+// An empty worker ends before it has received layers, and its address goes to a worker of another service. Checks that
+// no worker is ordered to hold more layers than its memory holds.
 
 #include "../common/Harness.h"
 
@@ -7,134 +7,105 @@
 
 namespace {
 
-constexpr milliseconds revokeMs { 5000 };
-constexpr milliseconds cutTime { 5500 };
-constexpr int cycles = 4;
-constexpr int clientsOfKey = 40;
+constexpr double layerMb = 1750;
 
-// Passes bytes between the daemon and the store. While it is cut, it closes all connections.
-class Proxy {
-public:
-    Proxy(std::string ip, std::string target)
-        : m_ip(std::move(ip))
-        , m_target(std::move(target))
-    {
-        m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        int on = 1;
-        ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        auto address = addressOf(m_ip, 8223);
-        if (::bind(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof address) || ::listen(m_fd, 64))
-            cannotRun("the address of the proxy cannot be bound");
-        std::thread([this] { accept(); }).detach();
-    }
-
-    std::string address() const { return m_ip + ":8223"; }
+std::atomic<int> tooLarge = 0;
+std::atomic<int> accepted = 0;
 
-    void cut()
+// A model worker. It takes place orders, and ends when an order exceeds its memory.
+class Engine : public Worker {
+public:
+    Engine(Store& store, const std::string& id, const std::string& service, const std::string& kind, double mb,
+        const std::string& ip)
+        : Worker(store, id,
+            { { "service", service }, { "zone", "z1" }, { "slots", 192 }, { "routeKind", kind }, { "stage", "hybrid" },
+                { "models", Json::array() }, { "layers", nullptr } },
+            ip, [this](Connection& c, const Message& m) { return handle(c, m); })
+        , m_mb(mb)
+        , m_kind(kind)
+        , m_service(service)
     {
-        std::lock_guard lock(m_mutex);
-        m_isCut = true;
-        for (int fd : m_open)
-            ::shutdown(fd, SHUT_RDWR);
     }
-    void heal() { m_isCut = false; }
+    ~Engine() override { crash(); }
 
 private:
-    void accept()
+    bool handle(Connection& connection, const Message& message)
     {
-        while (true) {
-            int fd = ::accept4(m_fd, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd < 0)
-                continue;
-            auto server = m_isCut ? nullptr : Connection::open(m_target, 8223);
-            if (!server) {
-                ::close(fd);
-                continue;
-            }
-            std::thread([this, fd, server = std::move(server)] { pass(fd, server->fd()); }).detach();
+        std::unique_lock lock(m_mutex);
+        finishOrder();
+        if (message.target() == "/jacinthspindle/report")
+            return answerJson(connection, 200,
+                { { "stage", "hybrid" }, { "models", Json::array() }, { "busy", Clock::now() < m_busyUntil },
+                    { "sequence", m_sequence }, { "queued", 0 }, { "running", 0 }, { "kvUsed", 0 },
+                    { "kvTotal", 100000 }, { "handles", 0 }, { "born", born() }, { "pace", 1.0 },
+                    { "routeKind", m_kind }, { "layers", m_layers }, { "stalled", Json::array() } });
+        if (message.target() != "/jacinthspindle/order")
+            return answerJson(connection, 404, Json::object());
+        auto expected = message.header("x-expect-instance");
+        if (!expected.empty() && expected != id())
+            return answerJson(connection, 421, Json::object());
+        auto order = Json::parse(message.body);
+        if (order.contains("expected") && order["expected"] != m_sequence) {
+            record().write(id() + " refuses an order with another sequence");
+            return answerJson(connection, 409, Json::object());
+        }
+        if (Clock::now() < m_busyUntil)
+            return answerJson(connection, 409, Json::object());
+        int from = order["from"];
+        int to = order["to"];
+        bool isTooLarge = (to - from) * layerMb > m_mb;
+        record().write(id() + " of " + m_service + " (" + m_kind + ", " + std::to_string(int(m_mb)) + " MB, "
+            + std::to_string(int(m_mb / layerMb)) + " layers at most) at " + address() + " is ordered to hold layers "
+            + std::to_string(from) + " to " + std::to_string(to) + (isTooLarge ? ": too many, it crashes" : ""));
+        if (isTooLarge) {
+            ++tooLarge;
+            std::thread([this] { crash(); }).detach();
+            return false;
         }
+        ++accepted;
+        ++m_sequence;
+        m_next = { { "from", from }, { "to", to }, { "version", 1 } };
+        auto loading = milliseconds((to - from) * 20);
+        m_busyUntil = Clock::now() + loading;
+        std::thread([this, loading] {
+            sleepFor(loading + milliseconds(1));
+            std::lock_guard guard(m_mutex);
+            finishOrder();
+        }).detach();
+        return answerJson(connection, 202, Json::object());
     }
 
-    void pass(int client, int server)
+    // Before the first request, loads take a tenth of their time.
+    void finishOrder()
     {
-        {
-            std::lock_guard lock(m_mutex);
-            m_open.insert(client);
-        }
-        pollfd fds[] { { client, POLLIN, 0 }, { server, POLLIN, 0 } };
-        char buf[65536];
-        bool isOpen = true;
-        while (isOpen && ::poll(fds, 2, -1) > 0) {
-            for (int i = 0; i < 2 && isOpen; ++i) {
-                if (!fds[i].revents)
-                    continue;
-                auto n = ::recv(fds[i].fd, buf, sizeof buf, 0);
-                isOpen = n > 0 && !m_isCut && ::send(fds[1 - i].fd, buf, static_cast<size_t>(n), MSG_NOSIGNAL) == n;
-            }
-        }
-        std::lock_guard lock(m_mutex);
-        m_open.erase(client);
-        ::close(client);
+        if (m_next.is_null() || Clock::now() < m_busyUntil)
+            return;
+        m_layers = std::exchange(m_next, nullptr);
+        setEntry("layers", m_layers);
     }
 
-    const std::string m_ip;
-    const std::string m_target;
-    int m_fd = -1;
-    std::atomic<bool> m_isCut = false;
-    std::mutex m_mutex;
-    std::set<int> m_open;
+    const double m_mb;
+    const std::string m_kind;
+    const std::string m_service;
+    uint64_t m_sequence = 0;
+    Json m_layers = nullptr;
+    Json m_next = nullptr;
+    Clock::time_point m_busyUntil {};
 };
 
-std::string keyOf(int cycle)
-{
-    return "key" + std::to_string(cycle) + "n2ctnfzs989anu";
-}
-
-// Keys of earlier cycles have been taken away.
-Json configurationOf(int cycle)
+Json modelService(const std::string& name, int layers, const std::string& kind, double mb)
 {
-    auto configuration = emptyConfiguration(static_cast<uint64_t>(10 + cycle));
-    configuration["services"] = Json::array({ plainService("catalogue") });
-    configuration["routes"] = Json::array({ route("r-card", "/card/", "idempotent", "catalogue", 1000) });
-    auto keys = Json::array({ "n2ctnfzs989anu6wsjnb" });
-    for (int i = cycle; i < cycles; ++i)
-        keys.push_back(keyOf(i));
-    configuration["tenants"][0]["apiKeys"] = keys;
-    return configuration;
-}
-
-struct Sent {
-    int cycle = 0;
-    Clock::time_point at;
-};
-
-std::mutex sentMutex;
-std::map<std::string, Sent> sent;
-std::atomic<int> refused = 0;
-
-// Asks with the key of the cycle, again at once after each answer.
-void ask(const Daemon& daemon, int cycle, int client, Clock::time_point until)
-{
-    std::unique_ptr<Connection> connection;
-    for (int n = 0; Clock::now() < until; ++n) {
-        if (!connection)
-            connection = daemon.connect();
-        if (!connection) {
-            sleepFor(milliseconds(5));
-            continue;
-        }
-        auto id = "k" + std::to_string(cycle) + "c" + std::to_string(client) + "n" + std::to_string(n);
-        {
-            std::lock_guard lock(sentMutex);
-            sent[id] = { cycle, Clock::now() };
-        }
-        connection->send("GET /card/read HTTP/1.1\r\nHost: ficu95.example\r\nX-Attempt-Id: " + id
-            + "\r\nX-Deadline-Ms: 1000\r\nAuthorization: Bearer " + keyOf(cycle) + "\r\n\r\n");
-        auto answer = readMessage(*connection, Clock::now() + milliseconds(1500));
-        refused += answer && answer->status() != 200;
-        if (!answer || answer->header("connection") == "close")
-            connection.reset();
-    }
+    auto service = plainService(name);
+    service["engine"] = { { "slots", 192 }, { "kvCapacityTokens", 100000 }, { "tokenKvBytes", 590000 },
+        { "linkMbps", 480000.0 }, { "stride", 2 },
+        { "models",
+            Json::array({ { { "name", name + "-model" }, { "pace", 1.0 }, { "loadS", 14.0 }, { "warmS", 1.0 } } }) },
+        { "step_ms", 0.85 }, { "per_seq_ms", 0.00382 }, { "context_per_k", 0.00512 }, { "read_per_s", 196000.0 },
+        { "pairs_per_m", 0.166 }, { "chunk", 512 }, { "report_lag_ms", 200.0 }, { "loads_at_once", 6 },
+        { "usual", { { "prompt", 772 }, { "answer", 167 } } }, { "layers", layers }, { "layerMb", layerMb },
+        { "activationBytes", 29500 }, { "pipeMbps", 13000.0 },
+        { "kinds", Json::array({ { { "name", kind }, { "mb", mb }, { "pace", 1.4 }, { "readX", 1.0 } } }) } };
+    return service;
 }
 
 } // namespace
@@ -142,50 +113,61 @@
 int main()
 {
     record().write("start");
+    constexpr double h100Mb = 72000;
+    constexpr double l4Mb = 21600;
+    constexpr milliseconds reuseAfter { 2000 };
     Store store(ipOf(2));
-    Proxy proxy(ipOf(3), ipOf(2));
-    store.put("op", "config", configurationOf(0));
-    PlainWorker worker(store, "i-w1", "catalogue", ipOf(51), milliseconds(30), 64);
-    worker.start();
-    auto& daemon = *new Daemon("front-1", ipOf(10), proxy.address(), ipOf(10));
+    auto configuration = emptyConfiguration(1);
+    configuration["services"]
+        = Json::array({ modelService("assistant", 20, "h100", h100Mb), modelService("tutor", 8, "l4", l4Mb) });
+    for (const auto* name : { "assistant", "tutor" }) {
+        auto it = route(std::string("r-") + name, std::string("/") + name + "/", "stream", name, 20000);
+        it["resumable"] = true;
+        it["sticky"] = true;
+        configuration["routes"].push_back(it);
+    }
+    store.put("op", "config", configuration);
+    Engine assistant(store, "i-a1", "assistant", "h100", h100Mb, ipOf(51));
+    Engine tutor(store, "i-t1", "tutor", "l4", l4Mb, ipOf(52));
+    assistant.start();
+    tutor.start();
+    auto& daemon = *new Daemon("front-1", ipOf(10), store.address(), ipOf(10));
     daemon.start();
     daemon.awaitReady();
-    sleepFor(milliseconds(1500));
-    std::vector<Clock::time_point> revokedAt;
-    for (int cycle = 0; cycle < cycles; ++cycle) {
-        auto began = Clock::now();
-        if (hasTrouble())
-            proxy.cut();
+    sleepFor(milliseconds(12000));
+    if (accepted < 2)
+        cannotRun("the first workers received no layers");
+
+    constexpr int added = 2;
+    std::vector<std::unique_ptr<Engine>> engines;
+    for (int i = 0; i < added; ++i) {
+        auto n = std::to_string(i + 2);
+        engines.push_back(std::make_unique<Engine>(store, "i-a" + n, "assistant", "h100", h100Mb, ipOf(60 + i)));
+        record().write("i-a" + n + " of assistant is added, empty, at " + engines.back()->address());
+        engines.back()->start();
+    }
+    if (hasTrouble()) {
         sleepFor(milliseconds(50));
-        store.put("op", "config", configurationOf(cycle + 1));
-        revokedAt.push_back(Clock::now());
-        std::this_thread::sleep_until(revokedAt.back() + revokeMs + milliseconds(20));
-        std::vector<std::thread> threads;
-        for (int i = 0; i < clientsOfKey; ++i)
-            threads.emplace_back([&, i] { ask(daemon, cycle, i, began + cutTime + milliseconds(1500)); });
-        std::this_thread::sleep_until(began + cutTime);
-        proxy.heal();
-        for (auto& it : threads)
-            it.join();
-        sleepFor(milliseconds(1500));
+        for (auto& it : engines) {
+            it->crash();
+            record().write(it->id() + " ends for good");
+        }
+        sleepFor(reuseAfter + milliseconds(50));
+    }
+    for (int i = 0; i < added; ++i) {
+        auto n = std::to_string(i + 2);
+        auto ip = ipOf(hasTrouble() ? 60 + i : 70 + i);
+        engines.push_back(std::make_unique<Engine>(store, "i-t" + n, "tutor", "l4", l4Mb, ip));
+        record().write("i-t" + n + " of tutor starts at " + engines.back()->address());
+        // A worker writes its entry once per heartbeat interval.
+        engines.back()->start(Worker::heartbeat);
     }
+    sleepFor(milliseconds(12000));
     bool hasEnded = daemon.ended().has_value();
     daemon.kill(SIGKILL);
-    if (hasEnded || !refused)
-        cannotRun("the daemon ended or gave no answer");
-    int late = 0;
-    for (const auto& it : worker.runs()) {
-        auto request = sent.find(it.request);
-        if (request == sent.end())
-            continue;
-        auto after = std::chrono::duration_cast<milliseconds>(request->second.at - revokedAt[request->second.cycle]);
-        if (after <= revokeMs)
-            continue;
-        ++late;
-        record().write("request " + it.request + ", sent " + std::to_string(after.count())
-            + " ms after the acknowledgement that took its key away, ran");
-    }
-    record().write(
-        "refused: " + std::to_string(refused) + "; run with a key that was taken away: " + std::to_string(late));
-    leave(late ? 1 : 0);
+    record().write("orders that exceed a worker's memory: " + std::to_string(tooLarge));
+    if (hasEnded)
+        cannotRun("the daemon ended");
+    engines.clear();
+    leave(tooLarge ? 1 : 0);
 }
