Take the silence of an engine from unanswered inquiries, not from the time since the first one

Callers: a request ran at three engines where its route allows two (BUDGET), after its daemon had been held up while a silent engine left the list. Cause: an engine counted as lost when its row was gone and the time since its first unanswered inquiry exceeded 2 s, also if this process was frozen, or had no request that asks, for most of that time. An engine that leaves without a word and pauses meets both, and is at work.

The silence now lasts from the first to the last unanswered inquiry of a series, and a series is broken by any second without an inquiry (SilentEngines, without input and output). The time of a freeze is in no series, so that it cannot count.

--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -30,8 +30,6 @@
     constexpr milliseconds lossCollectionTime { 10 };
     // Part of the silence after which an endpoint is asked.
     constexpr milliseconds loggedDelay = silenceBeforeInquiry / 2;
-    // Longer than streams usually last; afterwards a lost endpoint counts again for those that remember it.
-    constexpr std::chrono::seconds silentHeadMemory { 10 };
 
     // False when another endpoint has started at the address.
     bool isSameStart(const EndpointSighting& endpoint, const EngineReport& report)
@@ -227,11 +225,8 @@
         }
         beginInquiry(now, *exchange->head());
     }
-    std::erase_if(m_silentHeads, [&](const auto& it) { return now - it.second.since > silentHeadMemory; });
-    // An answer that comes at once removes its endpoint, so that the map is copied.
-    auto silentHeads = m_silentHeads;
-    for (const auto& [id, silent] : silentHeads)
-        beginInquiry(now, silent.head);
+    for (const auto& it : m_silentHeads.update(now))
+        beginInquiry(now, it);
     std::erase_if(m_inquiries, [&](const auto& it) { return now - it.second > std::chrono::seconds(10); });
 }
 
@@ -244,19 +239,9 @@
     net::co_spawn(m_io, inquire(head), net::detached);
 }
 
-void Traffic::noteInquiry(const EndpointSighting& head, Instant askedAt, bool isAnswered)
-{
-    if (isAnswered)
-        m_silentHeads.erase(head.endpoint);
-    else
-        m_silentHeads.try_emplace(head.endpoint, SilentHead { head, askedAt });
-}
-
 bool Traffic::isLost(const EndpointId& id) const
 {
-    auto silent = m_silentHeads.find(id);
-    return silent != m_silentHeads.end() && m_context.clock.now() - silent->second.since >= longestSoundSilence
-        && !m_view->findEndpoint(id);
+    return m_silentHeads.silenceOf(id) >= longestSoundSilence && !m_view->findEndpoint(id);
 }
 
 // Asks the head of chains which endpoints it waits for.
@@ -264,10 +249,14 @@
 {
     auto askedAt = m_context.clock.now();
     auto report = co_await m_engines.report(head.address, inquiryTimeout);
+    auto endedAt = m_context.clock.now();
     // After a delay of this process the answer may lie unread.
-    if (!report && m_context.clock.now() - askedAt >= inquiryTimeout + LoopWatch::leastDelay)
+    if (!report && endedAt - askedAt >= inquiryTimeout + LoopWatch::leastDelay)
         co_return;
-    noteInquiry(head, askedAt, report && isSameStart(head, *report));
+    if (report && isSameStart(head, *report))
+        m_silentHeads.noteAnswer(head.endpoint);
+    else
+        m_silentHeads.noteSilence(head, askedAt, endedAt);
     if (!report) {
         std::vector<std::string> waiting;
         for (const auto& [id, exchange] : m_exchanges) {
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -5,6 +5,7 @@
 #include "router/ClientSession.h"
 #include "router/LoopWatch.h"
 #include "router/RoutingView.h"
+#include "router/SilentEngines.h"
 
 #include <atomic>
 #include <functional>
@@ -75,7 +76,6 @@
     net::awaitable<void> sweep();
     net::awaitable<void> inquire(EndpointSighting head);
     void beginInquiry(Instant now, const EndpointSighting& head);
-    void noteInquiry(const EndpointSighting& head, Instant askedAt, bool isAnswered);
     // An endpoint that has left the list may be at work, since some leave without a word. It has ended, or is cut off,
     // if it has besides answered no inquiry for longer than a sound one is silent.
     bool isLost(const EndpointId&) const;
@@ -105,11 +105,7 @@
     std::unordered_map<RequestId, std::shared_ptr<Exchange>> m_exchanges;
     std::set<std::shared_ptr<ClientSession>> m_sessions;
     std::unordered_map<std::string, Instant> m_inquiries; // By address of the head: when it was last asked.
-    struct SilentHead {
-        EndpointSighting head;
-        Instant since {}; // When the first inquiry began that it did not answer.
-    };
-    std::map<EndpointId, SilentHead> m_silentHeads; // Asked until they answer, or for silentHeadMemory.
+    SilentEngines m_silentHeads; // Asked until they answer or are forgotten.
     std::map<EndpointId, std::vector<UnbegunLoss>> m_losses; // Whose engines are asked whether they ended.
     LoopWatch m_loopWatch;
     std::optional<Instant> m_drainedAt;
--- a/test/router/SilentEngineTest.cpp
+++ b/test/router/SilentEngineTest.cpp
@@ -227,7 +227,7 @@
     std::list<ScriptedServer> engines;
     std::vector<router::EndpointSighting> endpoints;
     for (size_t i = 0; i < 3; ++i) {
-        auto answer = [&, i](const std::string& request) {
+        auto answer = [&, i](const std::string&) {
             int number = ++requests;
             if (number == 1)
                 first = i;
--- /dev/null
+++ b/test/router/SilentEnginesTest.cpp
@@ -0,0 +1,71 @@
+// Tests of how long engines count as silent.
+
+#include "router/SilentEngines.h"
+
+#include <doctest/doctest.h>
+
+using namespace jacinthspindle;
+using namespace std::chrono_literals;
+using router::SilentEngines;
+
+namespace {
+
+constexpr Instant begin(100s);
+
+router::EndpointSighting engineOf(const std::string& name)
+{
+    router::EndpointSighting engine;
+    engine.endpoint = EndpointId(name);
+    return engine;
+}
+
+// Inquiries from one moment to another, of which none is answered.
+void askInVain(SilentEngines& engines, const std::string& name, Instant from, Instant to)
+{
+    for (auto at = from; at <= to; at += 700ms)
+        engines.noteSilence(engineOf(name), at, at + 350ms);
+}
+
+} // namespace
+
+TEST_CASE("the silence of an engine lasts from the first to the last unanswered inquiry")
+{
+    SilentEngines engines;
+    CHECK(engines.silenceOf(EndpointId("e1")) == 0ms);
+    askInVain(engines, "e1", begin, begin + 1400ms);
+    CHECK(engines.silenceOf(EndpointId("e1")) == 1750ms);
+    CHECK(engines.silenceOf(EndpointId("e2")) == 0ms);
+}
+
+TEST_CASE("an answer ends the silence of an engine")
+{
+    SilentEngines engines;
+    askInVain(engines, "e1", begin, begin + 2800ms);
+    engines.noteAnswer(EndpointId("e1"));
+    CHECK(engines.silenceOf(EndpointId("e1")) == 0ms);
+    askInVain(engines, "e1", begin + 3500ms, begin + 3500ms);
+    CHECK(engines.silenceOf(EndpointId("e1")) == 350ms);
+}
+
+// BUDGET: an engine counted as silent for the time in which it was not asked.
+TEST_CASE("the silence of an engine begins anew after a time in which it was not asked")
+{
+    SilentEngines engines;
+    askInVain(engines, "e1", begin, begin + 700ms);
+    CHECK(engines.silenceOf(EndpointId("e1")) == 1050ms);
+    askInVain(engines, "e1", begin + 2500ms, begin + 2500ms);
+    CHECK(engines.silenceOf(EndpointId("e1")) == 350ms);
+    askInVain(engines, "e1", begin + 3200ms, begin + 4600ms);
+    CHECK(engines.silenceOf(EndpointId("e1")) == 2450ms);
+}
+
+TEST_CASE("silent engines are asked again until they are forgotten")
+{
+    SilentEngines engines;
+    askInVain(engines, "e1", begin, begin + 9800ms);
+    auto asked = engines.update(begin + SilentEngines::memory);
+    REQUIRE(asked.size() == 1);
+    CHECK(asked.front().endpoint == EndpointId("e1"));
+    CHECK(engines.update(begin + SilentEngines::memory + 1ms).empty());
+    CHECK(engines.silenceOf(EndpointId("e1")) == 0ms);
+}
