Begin the proof of an engine's end anew when the daemon was held up during it

Callers: sound requests were refused with 503, since their part of a prompt was blocked for engines that had not ended. Cause: the proof "silent" wants 2 s without an answer, taken as the time since the loss. A daemon that is frozen for these 2 s asks nobody, and its own timers run out at the wake before the engine could be heard.

Each turn of the inquiry that lasts longer than an inquiry can begins the 2 s anew.

--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -294,7 +294,8 @@
 net::awaitable<const char*> Traffic::findProofOfEnd(EndpointSighting engine)
 {
     net::steady_timer timer(m_io);
-    auto end = m_context.clock.now() + longestSoundSilence;
+    auto turnedAt = m_context.clock.now();
+    auto end = turnedAt + longestSoundSilence;
     while (true) {
         auto report = co_await m_engines.report(engine.address, inquiryTimeout);
         if (report)
@@ -303,7 +304,12 @@
         auto ec = co_await connectTo(stream, engine.address, inquiryTimeout);
         if (ec == net::error::connection_refused)
             co_return "refused";
-        if (m_context.clock.now() >= end)
+        auto now = m_context.clock.now();
+        // While this process was held up, nobody asked the engine.
+        if (now - turnedAt > inquiryInterval + 2 * inquiryTimeout + LoopWatch::leastDelay)
+            end = now + longestSoundSilence;
+        turnedAt = now;
+        if (now >= end)
             co_return ec == beast::error::timeout ? "silent" : nullptr;
         timer.expires_after(inquiryInterval);
         co_await timer.async_wait(awaitInto(ec));
--- a/test/router/FatalPromptPartTest.cpp
+++ b/test/router/FatalPromptPartTest.cpp
@@ -72,6 +72,32 @@
     std::list<PausingEngine> m_engines;
 };
 
+// Connections to a server that are opened and never used.
+class WaitingConnections {
+public:
+    WaitingConnections(const std::string& address, int connections)
+    {
+        sockaddr_in name {};
+        name.sin_family = AF_INET;
+        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        name.sin_port = htons(static_cast<uint16_t>(std::stoul(address.substr(address.rfind(':') + 1))));
+        for (int i = 0; i < connections; ++i) {
+            m_sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+            connect(m_sockets.back(), reinterpret_cast<sockaddr*>(&name), sizeof name);
+        }
+    }
+    ~WaitingConnections()
+    {
+        for (int it : m_sockets)
+            close(it);
+    }
+    WaitingConnections(const WaitingConnections&) = delete;
+    WaitingConnections& operator=(const WaitingConnections&) = delete;
+
+private:
+    std::vector<int> m_sockets;
+};
+
 std::string ask(RouterFixture& router, const std::string& id, const std::string& parts)
 {
     return router.send(requestText("POST", "/ask/1", id, "question", "X-Prompt-Parts: " + parts + "\r\n"));
@@ -168,6 +194,37 @@
     CHECK(router.traffic().parts().suspects() == 0);
 }
 
+// LOST: a freeze of the daemon, during which nobody asked the engine, counted as silence of the engine.
+TEST_CASE("an engine that paused while the process was held up is not taken for ended")
+{
+    std::atomic<bool> hasRequest { false };
+    std::atomic<bool> isFull { false };
+    auto lose = [&](const std::string&) {
+        hasRequest = true;
+        RouterFixture::eventually([&] { return isFull.load(); });
+        return std::string();
+    };
+    ScriptedServer engine(lose, AfterAnswer::Reset);
+    RouterFixture router;
+    router.start({ endpointAt("e1", "assistant", engine.address()) });
+    auto answer = std::async(std::launch::async, [&] { return ask(router, "r1", partsOf("good", 1)); });
+    REQUIRE(RouterFixture::eventually([&] { return hasRequest.load(); }));
+    // While its queue is full, the paused engine takes no further connection.
+    WaitingConnections queue(engine.address(), 24);
+    isFull = true;
+    std::this_thread::sleep_for(450ms);
+    router.holdUpTraffic(2200ms);
+    std::this_thread::sleep_for(2300ms);
+    {
+        std::lock_guard lock(router.platform().mutex);
+        router.platform().reports[engine.address()].born = "1";
+    }
+    std::this_thread::sleep_for(1500ms);
+    CHECK(router.logged("\"engine-ended\"").empty());
+    CHECK(router.traffic().parts().suspects() == 0);
+    answer.wait();
+}
+
 TEST_CASE("a planned stop of an engine with a waiting request makes no part suspect")
 {
     std::atomic<bool> isWaiting { false };
