Bound the bytes that a process holds for all its callers together

Callers: other requests of a daemon ended without an answer when it ran out of memory. An event that never ends is held up to 256 KB for each stream, and what nobody reads lies in the system's buffers, which grew to some 7 MB a connection (1.7 GB for 60 callers, measured earlier).

A request that does not fit is refused at once with 503 and Retry-After, as not run, and the rest of it is discarded so that the refusal is not lost with a reset connection. An answer that does not fit is passed on as it comes; an event that does not fit ends its attempt. Sockets have buffers of 64 KB.

Evidence: MemoryBudgetTest, on 100 kB: of 16 requests with 9 kB bodies some are served and the others refused, and the peak stays below the bound. The budget did not exist before, so that these cases could not be run on the code before. spindlerouter_test passes whole (122 cases).

--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -4,6 +4,8 @@
 
 #include "router/Traffic.h"
 
+#include <array>
+
 namespace jacinthspindle::router {
 
 namespace {
@@ -17,6 +19,11 @@
     constexpr milliseconds absenceProof { 1950 };
     // For refusals because of a configuration that is too old; another daemon may know a newer one.
     constexpr milliseconds staleRetryAfter { 100 };
+    // For refusals because other requests take all the memory; they are read and passed on by then.
+    constexpr milliseconds memoryRetryAfter { 300 };
+    // What is read of a request that was refused.
+    constexpr milliseconds longestDiscard { 1000 };
+    constexpr size_t mostDiscardedBytes = size_t { 8 } << 20;
     constexpr milliseconds defaultDeadline { 30000 };
     // Bytes that are read ahead of their parsing; bounds framing that has no end, such as that of a chunk.
     constexpr size_t maxReadAhead = size_t { 128 } << 10;
@@ -79,6 +86,7 @@
     : m_traffic(traffic)
     , m_stream(std::move(socket))
     , m_buffer(maxReadAhead)
+    , m_held(traffic.memory())
     , m_idleSince(traffic.context().clock.now())
 {
     tuneSocket(m_stream.socket());
@@ -104,6 +112,7 @@
         if (!request)
             break;
         bool isAnswered = co_await serve(std::move(*request));
+        m_held.release();
         if (!isAnswered) {
             // Without chunks, an orderly end of the connection would look like that of a whole answer.
             isReset = m_isOldVersion;
@@ -156,15 +165,53 @@
         co_await http::async_write(m_stream, goOn, awaitInto(ec));
     }
     m_stream.expires_after(limits.idleTimeout);
-    if (!ec)
-        co_await http::async_read(m_stream, m_buffer, parser, awaitInto(ec));
+    while (!ec && !parser.is_done()) {
+        if (!hold(parser.get().body(), parser.content_length()))
+            co_return co_await rejectUnheld(parser.get().base());
+        co_await http::async_read_some(m_stream, m_buffer, parser, awaitInto(ec));
+    }
     if (ec)
         co_return co_await rejectUnread(ec);
+    if (!hold(parser.get().body(), boost::none))
+        co_return co_await rejectUnheld(parser.get().base());
+    // What grew for a long body is not kept while the request is served.
+    m_buffer.shrink_to_fit();
     m_stream.expires_never();
     m_wantsClose = !parser.keep_alive();
     co_return parser.release();
 }
 
+// A body is copied for each attempt, and what is read ahead may grow with it.
+bool ClientSession::hold(const std::string& body, const boost::optional<uint64_t>& length)
+{
+    auto bytes = std::max(body.capacity(), length ? static_cast<size_t>(*length) : size_t {});
+    return m_held.resize(2 * bytes + m_buffer.capacity());
+}
+
+// The process has no memory for the request, which is not read to its end.
+net::awaitable<std::optional<ClientSession::Request>> ClientSession::rejectUnheld(const http::request_header<>& header)
+{
+    m_wantsClose = true;
+    m_held.release();
+    std::string wireId(header[m_traffic.context().settings.headers.requestId]);
+    bool isSent = co_await reject(ResultCode::QueueFull, 503, std::move(wireId), memoryRetryAfter);
+    if (isSent)
+        co_await discardRest();
+    co_return std::nullopt;
+}
+
+// Reads on without keeping anything, so that the answer is not lost with a connection that is reset for bytes that
+// were never read.
+net::awaitable<void> ClientSession::discardRest()
+{
+    ErrorCode ec;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    std::array<char, 4096> ignored;
+    m_stream.expires_after(longestDiscard);
+    for (size_t n = 0; !ec && n < mostDiscardedBytes;)
+        n += co_await m_stream.async_read_some(net::buffer(ignored), awaitInto(ec));
+}
+
 // Answers a request that cannot be read; the connection ends with it.
 net::awaitable<std::optional<ClientSession::Request>> ClientSession::rejectUnread(const ErrorCode& ec)
 {
@@ -182,6 +229,7 @@
         co_await reject(ResultCode::RequestTooLarge, 413, {}, std::nullopt);
     else
         co_await reject(ResultCode::RequestMalformed, 400, {}, std::nullopt);
+    co_await discardRest();
     co_return std::nullopt;
 }
 
--- a/src/router/ClientSession.h
+++ b/src/router/ClientSession.h
@@ -32,6 +32,10 @@
     net::awaitable<bool> awaitFirstByte();
     net::awaitable<std::optional<Request>> readRequest();
     net::awaitable<std::optional<Request>> rejectUnread(const ErrorCode&);
+    // length: as the header announces it. False when the process has no memory for the request.
+    bool hold(const std::string& body, const boost::optional<uint64_t>& length);
+    net::awaitable<std::optional<Request>> rejectUnheld(const http::request_header<>&);
+    net::awaitable<void> discardRest();
     net::awaitable<bool> serve(Request);
     net::awaitable<bool> reject(ResultCode, unsigned status, std::string wireId, std::optional<Duration> retryAfter);
     void watchCaller(const std::shared_ptr<Exchange>&);
@@ -40,6 +44,7 @@
     Traffic& m_traffic;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    MemoryBudget::Share m_held; // Of the request.
     bool m_isIdle = true; // No byte of a request has arrived since the last answer.
     Instant m_idleSince; // Valid while m_isIdle.
     bool m_wantsClose = false; // The caller asked for it, or its connection cannot go on.
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -31,6 +31,7 @@
     , m_sink(sink)
     , m_request(std::move(request))
     , m_decisionTimer(context.executor)
+    , m_held(context.memory)
 {
     if (m_request.lastEvent)
         m_events.resumeAfter(*m_request.lastEvent);
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -5,6 +5,7 @@
 #include "router/EndpointPool.h"
 #include "router/Headers.h"
 #include "router/Journal.h"
+#include "router/MemoryBudget.h"
 #include "router/PromptParts.h"
 
 #include "daemon/Metrics.h"
@@ -50,6 +51,7 @@
     std::function<Duration()> recentDelay; // Longest delay of the event loop just before; see LoopWatch.
     PromptParts& parts;
     std::function<void(UnbegunLoss)> noteLoss;
+    MemoryBudget& memory;
 };
 
 // A request that has passed the checks of its route and key.
@@ -167,7 +169,11 @@
     // Returns the next bytes of the body, none when only framing was read; nothing when the answer broke off.
     net::awaitable<std::optional<std::string_view>> readSome(EndpointConnection&, Parser&);
     enum class BodyEnd : uint8_t { Whole, TooLong, BrokenOff };
-    // Reads the body, or its beginning when it is longer than a daemon holds in memory for one request.
+    // What the exchange holds of answers takes so many bytes beside what was read ahead. False: the memory does not
+    // allow it.
+    bool hold(const EndpointConnection&, size_t bytes);
+    // Reads the body, or its beginning when it is longer than a daemon holds in memory for one request, or than the
+    // memory allows.
     net::awaitable<BodyEnd> readBody(EndpointConnection&, Parser&, std::string& body);
     net::awaitable<AttemptResult> relayStream(OpenAttempt&);
     net::awaitable<AttemptResult> takeWhole(EndpointConnection&, Parser&);
@@ -237,6 +243,7 @@
     bool m_hasBegun = false; // The caller has received a part of the answer.
     bool m_isPassingThrough = false; // That part is of an answer which is no stream, so that no other can continue it.
     std::array<char, 4096> m_chunk; // Bytes that readSome() returned last.
+    MemoryBudget::Share m_held; // Of the answer.
     EventSplitter m_events;
     std::optional<http::response<http::string_body>> m_answer; // An endpoint's own whole answer.
 };
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -219,10 +219,18 @@
     co_return std::string_view(m_chunk.data(), m_chunk.size() - parser.get().body().size);
 }
 
+bool Exchange::hold(const EndpointConnection& connection, size_t bytes)
+{
+    bytes += connection.buffer.capacity();
+    if (m_standby)
+        bytes += m_standby->partialEvent.size() + m_standby->connection->buffer.capacity();
+    return m_held.resize(bytes);
+}
+
 net::awaitable<Exchange::BodyEnd> Exchange::readBody(EndpointConnection& connection, Parser& parser, std::string& body)
 {
     while (!parser.is_done()) {
-        if (body.size() > maxHeldBytes)
+        if (body.size() > maxHeldBytes || !hold(connection, body.capacity()))
             co_return BodyEnd::TooLong;
         auto bytes = co_await readSome(connection, parser);
         if (!bytes)
@@ -372,6 +380,7 @@
     if (!isOwnAnswer(header))
         co_return notOwnAnswer();
     std::string events;
+    size_t unfinished = 0; // Bytes since the last event that ended; those of its end are counted too.
     while (!parser.is_done()) {
         if (isInterrupted(connection))
             co_return setAside();
@@ -385,6 +394,9 @@
         events.clear();
         if (!m_events.feed(*bytes, events))
             co_return broken("event too long");
+        unfinished = bytes->size() + (events.empty() ? unfinished : 0);
+        if (!hold(connection, unfinished))
+            co_return broken("no memory for an event");
         if (events.empty())
             continue;
         // Bytes that end no event are no progress: the caller sees none either.
--- a/src/router/HttpCaller.h
+++ b/src/router/HttpCaller.h
@@ -19,7 +19,7 @@
 // Belongs to one event loop. At most one call is in progress.
 class HttpCaller {
 public:
-    static constexpr size_t longestAnswer = size_t { 16 } << 20;
+    static constexpr size_t longestAnswer = size_t { 4 } << 20;
 
     // maxAnswerBytes: a longer answer counts as none.
     HttpCaller(net::any_io_executor, std::string address, size_t maxAnswerBytes = longestAnswer);
--- a/src/router/Net.cpp
+++ b/src/router/Net.cpp
@@ -73,8 +73,11 @@
 
 void tuneSocket(tcp::socket& socket)
 {
+    constexpr int bufferBytes = 64 << 10;
     ErrorCode ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(net::socket_base::receive_buffer_size(bufferBytes), ignored);
+    socket.set_option(net::socket_base::send_buffer_size(bufferBytes), ignored);
     using UserTimeout = net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     socket.set_option(UserTimeout(static_cast<int>(sendTimeout.count())), ignored);
 }
--- a/src/router/Net.h
+++ b/src/router/Net.h
@@ -59,7 +59,8 @@
 // Connects to "IP:port" and tunes the socket. The stream's timer is left as it was set for the connection.
 net::awaitable<ErrorCode> connectTo(beast::tcp_stream&, const std::string& address, std::chrono::milliseconds timeout);
 
-// Sets TCP_NODELAY and TCP_USER_TIMEOUT; a failure is of no consequence and is ignored.
+// Sets TCP_NODELAY, TCP_USER_TIMEOUT and the sizes of the system's buffers, which otherwise grow to megabytes when one
+// side reads slowly; a failure is of no consequence and is ignored.
 void tuneSocket(tcp::socket&);
 
 // True when the peer has neither closed the connection nor sent bytes that nobody asked for.
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -48,10 +48,11 @@
     , m_engines(engines)
     , m_age(age)
     , m_pool(io.get_executor(), clock)
+    , m_memory(settings.mostHeldBytes)
     , m_context { io.get_executor(), clock, journal, metrics, m_pool, settings, m_control.postInput,
         m_control.postNotice, [this] { return m_view; }, [this](const EndpointId& id) { return isLost(id); },
         [this] { return m_loopWatch.longestDelay(m_context.clock.now()); }, m_parts,
-        [this](UnbegunLoss loss) { noteLoss(std::move(loss)); } }
+        [this](UnbegunLoss loss) { noteLoss(std::move(loss)); }, m_memory }
     , m_acceptor(io)
     , m_loopWatch(sweepInterval)
 {
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -68,6 +68,7 @@
     bool isReady() const;
     // Thread-safe.
     PromptParts& parts() { return m_parts; }
+    MemoryBudget& memory() { return m_memory; }
 
 private:
     net::awaitable<void> acceptCallers();
@@ -99,6 +100,7 @@
     const ConfigurationAge& m_age;
     EndpointPool m_pool;
     PromptParts m_parts;
+    MemoryBudget m_memory;
     ExchangeContext m_context;
     tcp::acceptor m_acceptor;
     std::shared_ptr<const RoutingView> m_view; // Null before the first configuration.
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 #include <tclap/CmdLine.h>
 #include <thread>
@@ -197,6 +198,8 @@
 int main(int argc, char** argv)
 {
     ::signal(SIGPIPE, SIG_IGN);
+    // The threshold rises with each large block that is freed otherwise, and large bodies then leave holes in the heap.
+    mallopt(M_MMAP_THRESHOLD, 128 << 10);
     auto options = parseOptions(argc, argv);
     if (!options)
         return exitStatus(ResultCode::UsageInvalid);
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -254,14 +254,15 @@
 class RouterFixture {
 public:
     // linkMbps: of its host, for other daemons; 0: it neither asks nor answers others.
-    explicit RouterFixture(const char* host = "host-1", uint32_t linkMbps = 0)
+    explicit RouterFixture(
+        const char* host = "host-1", uint32_t linkMbps = 0, size_t mostHeldBytes = size_t { 64 } << 20)
         : m_log(std::tmpfile())
         , m_journal(m_clock, host, fileno(m_log))
         , m_configurations(m_state, m_clock, m_controlIo)
         , m_endpoints(m_state)
         , m_hosts(m_state)
         , m_engines(m_state)
-        , m_settings(settings(host, linkMbps))
+        , m_settings(settings(host, linkMbps, mostHeldBytes))
         , m_control(m_controlIo, m_clock, m_journal, m_metrics, m_settings,
               { m_configurations, m_endpoints, m_hosts, m_lease, m_engines }, leaseOf(host), m_age)
         , m_traffic(m_trafficIo, m_clock, m_journal, m_metrics, m_settings,
@@ -365,13 +366,14 @@
         close(socket);
         return addressOf(name);
     }
-    static router::RouterSettings settings(const char* host, uint32_t linkMbps)
+    static router::RouterSettings settings(const char* host, uint32_t linkMbps, size_t mostHeldBytes)
     {
         router::RouterSettings settings;
         settings.host = HostId(host);
         settings.dataCentre = DataCentreId("north");
         settings.frontAddress = freeAddress();
         settings.linkMbps = linkMbps;
+        settings.mostHeldBytes = mostHeldBytes;
         if (linkMbps)
             settings.peerAddress = freeAddress();
         return settings;
