--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -86,7 +86,7 @@
     : m_traffic(traffic)
     , m_stream(std::move(socket))
     , m_buffer(maxReadAhead)
-    , m_held(traffic.memory())
+    , m_held(traffic.requestMemory())
     , m_idleSince(traffic.context().clock.now())
 {
     tuneSocket(m_stream.socket());
@@ -94,7 +94,7 @@
 
 void ClientSession::closeIfIdle(Instant now)
 {
-    if (m_isIdle && now - m_idleSince >= shortestIdle)
+    if (m_isIdle && now - m_idleSince >= shortestIdle && !hasBytes(m_stream.socket()))
         m_stream.close();
 }
 
@@ -177,6 +177,7 @@
         co_return co_await rejectUnheld(parser.get().base());
     // What grew for a long body is not kept while the request is served.
     m_buffer.shrink_to_fit();
+    hold(parser.get().body(), boost::none);
     m_stream.expires_never();
     m_wantsClose = !parser.keep_alive();
     co_return parser.release();
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -31,7 +31,7 @@
     , m_sink(sink)
     , m_request(std::move(request))
     , m_decisionTimer(context.executor)
-    , m_held(context.memory)
+    , m_held(context.answerMemory)
 {
     if (m_request.lastEvent)
         m_events.resumeAfter(*m_request.lastEvent);
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -51,7 +51,8 @@
     std::function<Duration()> recentDelay; // Longest delay of the event loop just before; see LoopWatch.
     PromptParts& parts;
     std::function<void(UnbegunLoss)> noteLoss;
-    MemoryBudget& memory;
+    const MemoryBudget& answerMemory;
+    std::function<void(const EndpointId&)> noteAlive; // The endpoint has sent a part of an answer.
 };
 
 // A request that has passed the checks of its route and key.
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -267,6 +267,7 @@
     if (isReached)
         isReached = co_await m_sink.sendPart(body);
     body = {};
+    m_held.release();
     while (isReached && !parser.is_done()) {
         auto bytes = co_await readSome(connection, parser);
         if (!bytes)
@@ -402,6 +403,7 @@
         // Bytes that end no event are no progress: the caller sees none either.
         m_progressAt = m_context.clock.now();
         noteEvent(m_progressAt);
+        m_context.noteAlive(m_head.endpoint);
         if (!open.hasDelivered)
             m_context.parts.recordBegin(m_progressAt, m_request.parts);
         open.hasDelivered = true;
--- a/src/router/MemoryBudget.h
+++ b/src/router/MemoryBudget.h
@@ -1,29 +1,41 @@
-// Bound on the bytes of all requests and answers that a process holds at once.
+// Bound on the bytes of requests, or of answers, that a process holds at once.
 
 #pragma once
 
 #include <algorithm>
 #include <cstddef>
+#include <memory>
 
 namespace jacinthspindle::router {
 
-// Belongs to one thread. Outlives its shares.
+// Belongs to one thread.
 class MemoryBudget {
 public:
+    // What each holder may hold without a share of the budget, so that the holders of much never stop small requests
+    // and answers.
+    static constexpr size_t freeBytes = size_t { 16 } << 10;
+
     explicit MemoryBudget(size_t mostBytes)
-        : m_most(mostBytes)
+        : m_counts(std::make_shared<Counts>(Counts { mostBytes, 0, 0 }))
     {
     }
 
-    size_t most() const { return m_most; }
-    size_t held() const { return m_held; }
-    size_t peak() const { return m_peak; }
+    size_t held() const { return m_counts->held; }
+    size_t peak() const { return m_counts->peak; }
 
-    // What one holder has taken of the budget; given back at the end of its life.
+private:
+    struct Counts {
+        size_t most = 0;
+        size_t held = 0; // Never more than most.
+        size_t peak = 0; // Largest value of held so far.
+    };
+
+public:
+    // What one holder has taken of the budget; given back at the end of its life, which may be after the budget's.
     class Share {
     public:
-        explicit Share(MemoryBudget& budget)
-            : m_budget(budget)
+        explicit Share(const MemoryBudget& budget)
+            : m_counts(budget.m_counts)
         {
         }
         ~Share() { release(); }
@@ -33,24 +45,23 @@
         // The holder holds so many bytes now. Returns false, and changes nothing, when the budget does not allow it.
         bool resize(size_t bytes)
         {
-            if (bytes > m_bytes && bytes - m_bytes > m_budget.m_most - m_budget.m_held)
+            bytes -= std::min(bytes, freeBytes);
+            if (bytes > m_bytes && bytes - m_bytes > m_counts->most - m_counts->held)
                 return false;
-            m_budget.m_held = m_budget.m_held - m_bytes + bytes;
-            m_budget.m_peak = std::max(m_budget.m_peak, m_budget.m_held);
+            m_counts->held = m_counts->held - m_bytes + bytes;
+            m_counts->peak = std::max(m_counts->peak, m_counts->held);
             m_bytes = bytes;
             return true;
         }
         void release() { resize(0); }
 
     private:
-        MemoryBudget& m_budget;
+        const std::shared_ptr<Counts> m_counts;
         size_t m_bytes = 0;
     };
 
 private:
-    const size_t m_most;
-    size_t m_held = 0; // Never more than m_most.
-    size_t m_peak = 0; // Largest value of m_held so far.
+    const std::shared_ptr<Counts> m_counts;
 };
 
 } // namespace jacinthspindle::router
--- a/src/router/RouterSettings.h
+++ b/src/router/RouterSettings.h
@@ -37,8 +37,9 @@
     bool isPreferredPlanner = false; // Claims the planner's lease first when the whole system starts.
     HeaderNames headers;
 
-    // Of all bodies of requests and answers, and of what is read ahead, together; see MemoryBudget.
-    size_t mostHeldBytes = size_t { 64 } << 20;
+    // Of the bodies of all requests together, with what is read ahead, and as much again of all answers; see
+    // MemoryBudget.
+    size_t mostHeldBytes = size_t { 32 } << 20;
     // From SIGTERM to SIGKILL.
     std::chrono::milliseconds shutdownGrace { 8000 };
     // A key is in force no longer than this after it was taken away, by the platform's rules.
--- a/src/router/SilentEngines.cpp
+++ b/src/router/SilentEngines.cpp
@@ -16,10 +16,12 @@
     silence.endedAt = endedAt;
 }
 
-Duration SilentEngines::silenceOf(const EndpointId& id) const
+Duration SilentEngines::silenceOf(const EndpointId& id, Instant now) const
 {
     auto found = m_engines.find(id);
-    return found == m_engines.end() ? Duration::zero() : found->second.endedAt - found->second.since;
+    if (found == m_engines.end() || now - found->second.endedAt > longestInterval)
+        return Duration::zero();
+    return found->second.endedAt - found->second.since;
 }
 
 std::vector<EndpointSighting> SilentEngines::update(Instant now)
--- a/src/router/SilentEngines.h
+++ b/src/router/SilentEngines.h
@@ -21,8 +21,9 @@
     // The engine did not answer an inquiry that lasted from askedAt to endedAt.
     void noteSilence(const EndpointSighting&, Instant askedAt, Instant endedAt);
     void noteAnswer(const EndpointId& id) { m_engines.erase(id); }
-    // Time from the first to the last unanswered inquiry of an unbroken series; zero for an engine that answered.
-    Duration silenceOf(const EndpointId&) const;
+    // Time from the first to the last unanswered inquiry of an unbroken series that lasts; zero for an engine that
+    // answered, or was not asked for a while.
+    Duration silenceOf(const EndpointId&, Instant now) const;
     // The engines that are to be asked again. Forgets those whose silence began longer ago than memory.
     std::vector<EndpointSighting> update(Instant now);
 
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -28,6 +28,10 @@
     constexpr milliseconds acceptPause { 50 };
     // Requests that lose an engine together notice it within a few milliseconds.
     constexpr milliseconds lossCollectionTime { 10 };
+    // Between two answers that do not come: the pause, a connection and a report, which connects as well.
+    constexpr milliseconds longestProofTurn = inquiryInterval + 3 * inquiryTimeout + milliseconds(100);
+    // The end of an engine is not known afterwards, if this process was held up again and again.
+    constexpr std::chrono::seconds longestProof { 10 };
     // Part of the silence after which an endpoint is asked.
     constexpr milliseconds loggedDelay = silenceBeforeInquiry / 2;
 
@@ -48,11 +52,13 @@
     , m_engines(engines)
     , m_age(age)
     , m_pool(io.get_executor(), clock)
-    , m_memory(settings.mostHeldBytes)
+    , m_requestMemory(settings.mostHeldBytes)
+    , m_answerMemory(settings.mostHeldBytes)
     , m_context { io.get_executor(), clock, journal, metrics, m_pool, settings, m_control.postInput,
         m_control.postNotice, [this] { return m_view; }, [this](const EndpointId& id) { return isLost(id); },
         [this] { return m_loopWatch.longestDelay(m_context.clock.now()); }, m_parts,
-        [this](UnbegunLoss loss) { noteLoss(std::move(loss)); }, m_memory }
+        [this](UnbegunLoss loss) { noteLoss(std::move(loss)); }, m_answerMemory,
+        [this](const EndpointId& id) { m_silentHeads.noteAnswer(id); } }
     , m_acceptor(io)
     , m_loopWatch(sweepInterval)
 {
@@ -242,7 +248,7 @@
 
 bool Traffic::isLost(const EndpointId& id) const
 {
-    return m_silentHeads.silenceOf(id) >= longestSoundSilence && !m_view->findEndpoint(id);
+    return m_silentHeads.silenceOf(id, m_context.clock.now()) >= longestSoundSilence && !m_view->findEndpoint(id);
 }
 
 // Asks the head of chains which endpoints it waits for.
@@ -295,8 +301,10 @@
 net::awaitable<const char*> Traffic::findProofOfEnd(EndpointSighting engine)
 {
     net::steady_timer timer(m_io);
-    auto turnedAt = m_context.clock.now();
-    auto end = turnedAt + longestSoundSilence;
+    auto begin = m_context.clock.now();
+    auto turnedAt = begin;
+    auto end = begin + longestSoundSilence;
+    bool isSilent = true; // It has not accepted a connection in all this time.
     while (true) {
         auto report = co_await m_engines.report(engine.address, inquiryTimeout);
         if (report)
@@ -305,13 +313,16 @@
         auto ec = co_await connectTo(stream, engine.address, inquiryTimeout);
         if (ec == net::error::connection_refused)
             co_return "refused";
+        isSilent = isSilent && ec == beast::error::timeout;
         auto now = m_context.clock.now();
         // While this process was held up, nobody asked the engine.
-        if (now - turnedAt > inquiryInterval + 2 * inquiryTimeout + LoopWatch::leastDelay)
+        if (now - turnedAt > longestProofTurn) {
             end = now + longestSoundSilence;
+            isSilent = true;
+        }
         turnedAt = now;
-        if (now >= end)
-            co_return ec == beast::error::timeout ? "silent" : nullptr;
+        if (now >= end || now - begin > longestProof)
+            co_return isSilent&& now >= end ? "silent" : nullptr;
         timer.expires_after(inquiryInterval);
         co_await timer.async_wait(awaitInto(ec));
     }
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -68,7 +68,8 @@
     bool isReady() const;
     // Thread-safe.
     PromptParts& parts() { return m_parts; }
-    MemoryBudget& memory() { return m_memory; }
+    const MemoryBudget& requestMemory() const { return m_requestMemory; }
+    const MemoryBudget& answerMemory() const { return m_answerMemory; }
 
 private:
     net::awaitable<void> acceptCallers();
@@ -100,7 +101,8 @@
     const ConfigurationAge& m_age;
     EndpointPool m_pool;
     PromptParts m_parts;
-    MemoryBudget m_memory;
+    MemoryBudget m_requestMemory;
+    MemoryBudget m_answerMemory;
     ExchangeContext m_context;
     tcp::acceptor m_acceptor;
     std::shared_ptr<const RoutingView> m_view; // Null before the first configuration.
