--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -321,8 +321,10 @@
             isSilent = true;
         }
         turnedAt = now;
-        if (now >= end || now - begin > longestProof)
-            co_return isSilent&& now >= end ? "silent" : nullptr;
+        if (now >= end)
+            co_return isSilent ? "silent" : nullptr;
+        if (now - begin > longestProof)
+            co_return nullptr;
         timer.expires_after(inquiryInterval);
         co_await timer.async_wait(awaitInto(ec));
     }
