--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -199,7 +199,7 @@
 {
     ::signal(SIGPIPE, SIG_IGN);
     // The threshold rises with each large block that is freed otherwise, and large bodies then leave holes in the heap.
-    mallopt(M_MMAP_THRESHOLD, 128 << 10);
+    mallopt(M_MMAP_THRESHOLD, 128 << 10); // NOLINT(concurrency-mt-unsafe): no other thread runs yet.
     auto options = parseOptions(argc, argv);
     if (!options)
         return exitStatus(ResultCode::UsageInvalid);
