--- a/test/router/FatalPromptPartTest.cpp
+++ b/test/router/FatalPromptPartTest.cpp
@@ -83,7 +83,8 @@
         name.sin_port = htons(static_cast<uint16_t>(std::stoul(address.substr(address.rfind(':') + 1))));
         for (int i = 0; i < connections; ++i) {
             m_sockets.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-            connect(m_sockets.back(), reinterpret_cast<sockaddr*>(&name), sizeof name);
+            // It is in progress until the server accepts it.
+            (void)connect(m_sockets.back(), reinterpret_cast<sockaddr*>(&name), sizeof name);
         }
     }
     ~WaitingConnections()
--- a/test/router/MemoryBudgetTest.cpp
+++ b/test/router/MemoryBudgetTest.cpp
@@ -58,6 +58,7 @@
     router.platform().configuration = std::make_shared<const RoutingConfiguration>(configuration);
     router.start({ endpoint });
     std::vector<std::future<std::string>> answers;
+    answers.reserve(requests);
     for (int i = 0; i < requests; ++i) {
         answers.push_back(std::async(std::launch::async,
             [&, i] { return router.send(requestText("POST", "/loans/7", "r" + std::to_string(i), body)); }));
