--- a/test/router/FatalPromptPartTest.cpp
+++ b/test/router/FatalPromptPartTest.cpp
@@ -213,6 +213,11 @@
     // While its queue is full, the paused engine takes no further connection.
     WaitingConnections queue(engine.address(), 24);
     isFull = true;
+    // Its end makes room for one more, which must not be the router's.
+    auto limit = std::chrono::steady_clock::now() + 10s;
+    while (engine.connections() < 2 && std::chrono::steady_clock::now() < limit)
+        std::this_thread::yield();
+    WaitingConnections last(engine.address(), 2);
     std::this_thread::sleep_for(450ms);
     router.holdUpTraffic(2200ms);
     std::this_thread::sleep_for(2300ms);
