--- a/include/spindlecore/DecisionCore.h
+++ b/include/spindlecore/DecisionCore.h
@@ -67,6 +67,11 @@
     // Number of this daemon's running attempts per engine, for the other daemons of its data centre.
     std::vector<EndpointLoad> ownLoad() const;
 
+    // Demand of this daemon's requests on models whose requests differ in priority, for the same daemons.
+    std::vector<ModelPressure> ownPressure() const;
+    // How admission to these models stands, for operators.
+    std::vector<ModelAdmission> admission() const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/include/spindlecore/Decisions.h
+++ b/include/spindlecore/Decisions.h
@@ -171,9 +171,42 @@
     JACINTHSPINDLE_FIELDS(self.endpoint, self.percent)
 };
 
+// A request to a model whose requests differ in priority.
+struct RankedArrival {
+    RequestArrived arrival;
+    uint8_t priority = 0; // 0 is the highest.
+    Duration target {}; // Time from the arrival within which the first event is due.
+    JACINTHSPINDLE_FIELDS(self.arrival, self.priority, self.target)
+};
+
+// Demand of one priority on a model, and what its engines get through. In prompt tokens and prompt tokens per second.
+struct PriorityLoad {
+    uint8_t priority = 0;
+    double unreadTokens = 0; // Of requests that wait for their first event, in a daemon or at an engine.
+    double demand = 0; // Of requests that arrive.
+    double begun = 0; // Of requests whose first event comes.
+    bool operator==(const PriorityLoad&) const = default;
+    JACINTHSPINDLE_FIELDS(self.priority, self.unreadTokens, self.demand, self.begun)
+};
+
+struct ModelPressure {
+    RouteId model;
+    std::vector<PriorityLoad> loads; // Ascending by priority.
+    bool operator==(const ModelPressure&) const = default;
+    JACINTHSPINDLE_FIELDS(self.model, self.loads)
+};
+
+// Pressure on the models of the data centre, over all its daemons.
+struct PressureReported {
+    std::vector<ModelPressure> models;
+    Duration age {}; // Age of the sums when they arrived.
+    JACINTHSPINDLE_FIELDS(self.models, self.age)
+};
+
 using CoreInput = std::variant<RequestArrived, FirstToken, TokensProgressed, AttemptFailed, RequestFinished, CallerGone,
     LoadReported, CacheChanged, EndpointStateReported, TableAdopted, ShareChanged, DrainStarted, Tick,
-    RetryReserveChanged, AcceleratorsDeclared, PeersCounted, PaceReported, AttemptStalled>;
+    RetryReserveChanged, AcceleratorsDeclared, PeersCounted, PaceReported, AttemptStalled, RankedArrival,
+    PressureReported>;
 
 // ---- Decisions.
 
@@ -182,7 +215,7 @@
     RequestId request;
     uint32_t attempt = 0; // Counted from 1.
     Chain chain;
-    uint8_t priority = 0; // 0 is the most urgent.
+    uint8_t priority = 0; // At the endpoints; 0 is the most urgent.
     uint32_t firstPosition = 0; // Position of the first token to generate.
     uint64_t tableRevision = 0;
     bool operator==(const Dispatch&) const = default;
@@ -220,4 +253,18 @@
 
 using CoreDecision = std::variant<Dispatch, Refuse, Abandon, Reprioritize>;
 
+// Share of the requests of one priority that is admitted to a model, and why. Not part of a trace.
+struct AdmissionLevel {
+    uint8_t priority = 0;
+    double admitted = 1;
+    Duration wait {}; // Until a prompt that arrives now is read.
+    double overload = 0; // Demand divided by what is begun; 0: unknown.
+    bool isShared = false; // From figures of all daemons of the data centre, not of this one alone.
+};
+
+struct ModelAdmission {
+    RouteId model;
+    std::vector<AdmissionLevel> levels; // Ascending by priority.
+};
+
 } // namespace jacinthspindle
--- a/include/spindlecore/ResultCode.h
+++ b/include/spindlecore/ResultCode.h
@@ -32,6 +32,7 @@
     IdempotencyKeyReused = 311,
     TableNotReady = 312,
     PromptPartBlocked = 313,
+    Overloaded = 314,
 
     EndpointFailed = 400,
     AttemptsExhausted = 401,
--- a/include/spindlecore/RoutingConfiguration.h
+++ b/include/spindlecore/RoutingConfiguration.h
@@ -92,12 +92,35 @@
     std::vector<ServiceSettings> services;
     std::vector<WorkspaceId> workspaces;
     std::unordered_map<std::string, WorkspaceId> workspaceByKey; // By API key.
+    std::unordered_map<WorkspaceId, uint8_t> workspacePriorities; // Only of workspaces that have one.
     CallerLimits limits;
 
     // Returns null when there is no service of this name.
     const ServiceSettings* findService(std::string_view name) const;
 };
 
+// Ranks of the requests to models whose routes differ in priority. A request ranks by the priority of its workspace, if
+// that has one, and then by that of its route.
+class RequestRanks {
+public:
+    RequestRanks() = default;
+    explicit RequestRanks(const RoutingConfiguration&);
+
+    // Ranks that are told apart; further ones share the last.
+    static constexpr uint8_t maxRanks = 10;
+    // Returns the rank among the requests to the service, 0 for the most urgent; nothing if the routes to the service
+    // have all the same priority or it runs no model.
+    std::optional<uint8_t> find(const std::string& service, const RouteSettings&, const WorkspaceId&) const;
+    size_t models() const { return m_ranks.size(); }
+
+private:
+    using Priorities = std::pair<uint8_t, uint8_t>; // Of the workspace, or else of the route; of the route.
+    Priorities prioritiesOf(const RouteSettings&, const WorkspaceId&) const;
+
+    std::unordered_map<WorkspaceId, uint8_t> m_workspacePriorities;
+    std::unordered_map<std::string, std::map<Priorities, uint8_t>> m_ranks; // By service.
+};
+
 // Finds routes by host and longest path prefix. Holds pointers into the configuration, which must outlive the index.
 // The cost of a lookup grows with the number of slashes in the path, not with the number of routes.
 class RouteIndex {
--- a/include/spindlecore/internal/CoreState.h
+++ b/include/spindlecore/internal/CoreState.h
@@ -7,6 +7,7 @@
 #include "spindlecore/internal/DispatchGate.h"
 #include "spindlecore/internal/FairQueue.h"
 #include "spindlecore/internal/LengthModel.h"
+#include "spindlecore/internal/PressureGate.h"
 #include "spindlecore/internal/RateLimiter.h"
 #include "spindlecore/internal/RetryBudget.h"
 
@@ -18,7 +19,8 @@
 
 namespace jacinthspindle::internal {
 
-// Requests with at least this many expected tokens count as long; they have their own queue lane and a slot limit.
+// Requests with at least this many expected tokens count as long; they have their own queue lane and a slot limit. So
+// have long prompts of ranked requests; see CoreState::hasLongPrompt().
 constexpr double longRequestTokens = 400;
 
 // The endpoints of one target, version and adapter, with the queue of requests for them.
@@ -27,18 +29,22 @@
     Pool pool;
     uint64_t generation = 0; // EndpointRegistry::generation() when the pool was built.
     DispatchGate gate;
-    FairQueue queue;
+    std::map<uint8_t, FairQueue> queues; // By priority; all requests of an unranked pool have the same.
     RetryBudget retries;
     uint32_t running = 0;
     uint32_t runningLong = 0;
     double slots = 0; // Smallest number of slots for any layer.
     double secondsPerToken = 0; // Average time between tokens, in seconds; 0 before the first measurement.
     double secondsPerPromptToken = 0; // Average time per prompt token, in seconds; 0 before the first measurement.
+    double promptTokens = 0; // Average length of the prompts of ranked requests; 0 before the first one.
     double callSeconds = 0.05; // Average duration of a call to a plain service, in seconds.
     double shortDemand = 0; // Slot seconds that short requests need per second, averaged.
     double shortDemandSinceTick = 0; // Slot seconds of the short requests that arrived since the last Tick.
     double longThreshold = 0.5; // Uniform in [0, 1); rounds the limit of long requests up or down at random.
     bool isReferenced = true; // By a route of the current table.
+    std::optional<PressureGate> pressure {}; // Of a ranked pool, whose requests differ in priority.
+
+    size_t queued() const;
 };
 
 struct ActiveRequest {
@@ -65,7 +71,13 @@
     double plannedFirstTokenSeconds = 0; // Estimated time from the dispatch to the first token.
     bool expectsHit = false; // Whether the plan counts on a prefix cache hit.
     bool isLong = false;
-    uint8_t priority = 0;
+    uint8_t priority = 0; // Of the running attempt; falls as an answer gets long, but not in a ranked pool.
+    uint8_t rank = 0; // Its queue in the pool: the priority with which a ranked request is admitted; otherwise 0.
+    uint8_t ownPriority = 0; // Of a ranked request, before it was raised.
+    Duration target {}; // Time from the arrival within which the first event is due; 0: not ranked.
+
+    bool isRanked() const { return target > Duration::zero(); }
+    FairQueue& queue() const { return pool->queues[rank]; }
 };
 
 // The limits of one workspace at this daemon. Only dimensions with a limit in the table are enforced.
@@ -98,16 +110,22 @@
     void apply(Instant, const AcceleratorsDeclared&, Decisions&);
     void apply(Instant, const PeersCounted&, Decisions&);
     void apply(Instant, const PaceReported&, Decisions&);
+    void apply(Instant, const RankedArrival&, Decisions&);
+    void apply(Instant, const PressureReported&, Decisions&);
     void apply(Instant, const DrainStarted&, Decisions&);
     void apply(Instant, const Tick&, Decisions&);
     CoreStatus status() const;
     std::vector<EndpointLoad> ownLoad() const;
+    std::vector<ModelPressure> ownPressure() const;
+    std::vector<ModelAdmission> admission() const;
 
 private:
     using Requests = std::map<RequestId, ActiveRequest>;
 
     // Admission.cpp
     ResultCode checkArrival(const RequestArrived&) const;
+    // priority and target: of a ranked request; target is 0 otherwise.
+    void admit(Instant, const RequestArrived&, uint8_t priority, Duration target, Decisions&);
     std::optional<Duration> limitWait(Instant, const ActiveRequest&);
     void chargeLimits(Instant, ActiveRequest&);
     void refuse(Instant, const RequestId&, ResultCode, Duration wait, Decisions&);
@@ -116,8 +134,13 @@
     double serviceSeconds(const ActiveRequest&, double tokens) const;
     bool canMeetDeadline(Instant, const ActiveRequest&, double wait) const;
     double maxWait(const ActiveRequest&, bool isFirst) const;
+    double expectedWait(const ActiveRequest&) const;
+    bool passPressure(ActiveRequest&);
+    bool hasLongPrompt(const ActiveRequest&);
     double freedSlots(const PoolState&) const;
     void dispatchQueued(Instant, PoolState&, Decisions&);
+    // Returns false when no slot is free.
+    bool dispatchQueue(Instant, PoolState&, FairQueue&, Decisions&);
     // Result of trying to start the first request of a lane, in this order: it left the queue, dispatched or refused;
     // it has to wait, but another lane may be tried; no slot is free.
     enum class QueueResult : uint8_t { Dequeued, LaneBlocked, NoSlot };
@@ -135,6 +158,7 @@
     void updateLength(ActiveRequest&, Decisions&);
     void chargeProgress(ActiveRequest&, uint32_t position);
     void raiseStarvedPriorities(Instant, Decisions&);
+    void updatePressure(Instant, Duration sinceLast);
     void refreshPool(PoolState&);
     void abandon(Requests::iterator, ResultCode, Decisions&);
     Duration jittered(double seconds);
--- a/include/spindlecore/spindlecore.h
+++ b/include/spindlecore/spindlecore.h
@@ -18,6 +18,7 @@
 #include "spindlecore/PeerMessage.h" // IWYU pragma: export
 #include "spindlecore/PlannerLease.h" // IWYU pragma: export
 #include "spindlecore/Ports.h" // IWYU pragma: export
+#include "spindlecore/PressureAggregator.h" // IWYU pragma: export
 #include "spindlecore/ResultCode.h" // IWYU pragma: export
 #include "spindlecore/RoutingConfiguration.h" // IWYU pragma: export
 #include "spindlecore/StreamCursor.h" // IWYU pragma: export
--- a/src/adapters/TraceText.cpp
+++ b/src/adapters/TraceText.cpp
@@ -67,6 +67,22 @@
                 << " prompt=" << it.promptTokens << " max=" << it.maxTokens << " from=" << it.firstPosition
                 << " deadline_ms=" << milliseconds(it.deadline);
         }
+        void operator()(const RankedArrival& it) const
+        {
+            (*this)(it.arrival);
+            out << " priority=" << unsigned { it.priority } << " target_ms=" << milliseconds(it.target);
+        }
+        void operator()(const PressureReported& it) const
+        {
+            out << "pressure, age_ms " << milliseconds(it.age);
+            for (const auto& model : it.models) {
+                out << ": " << model.model.value();
+                for (const auto& load : model.loads) {
+                    out << " priority=" << unsigned { load.priority } << " unread=" << load.unreadTokens
+                        << " demand=" << load.demand << " begun=" << load.begun;
+                }
+            }
+        }
         void operator()(const FirstToken& it) const { out << "first token, attempt " << it.attempt; }
         void operator()(const TokensProgressed& it) const
         {
--- a/src/core/Admission.cpp
+++ b/src/core/Admission.cpp
@@ -17,6 +17,11 @@
     // Factor on the maximum wait of the first queued request of a workspace. A daemon frees a slot only about once per
     // second, so that a workspace with little work would otherwise lose its share by chance.
     constexpr double firstRequestWaitFactor = 2;
+    // Bounds what a configuration without sensible targets can do.
+    constexpr Duration shortestTarget = std::chrono::milliseconds(50);
+    // A prompt this many times as long as the average of its model counts as long.
+    constexpr double longPromptRatio = 2;
+    constexpr double promptAveragingWeight = 0.05;
     // Flows that are tried for a free slot. When none of them can use it, dispatching stops until the next input or
     // tick.
     constexpr size_t maxFlowsPerSlot = 4;
@@ -99,7 +104,7 @@
 void CoreState::refuseQueued(Instant now, const RequestId& id, ResultCode code, Duration wait, Decisions& decisions)
 {
     auto it = m_requests.find(id);
-    it->second.pool->queue.erase(it->second.arrival.workspace, id);
+    it->second.queue().erase(it->second.arrival.workspace, id);
     refuse(now, id, code, wait, decisions);
     auto limits = m_limits.find(it->second.arrival.workspace);
     if (limits != m_limits.end())
@@ -145,11 +150,51 @@
     return wait + service <= secondsOf(request.deadline - now);
 }
 
+// Whether the pressure on the model allows the request, which may be raised to the highest priority for it.
+bool CoreState::passPressure(ActiveRequest& request)
+{
+    auto& gate = request.pool->pressure;
+    if (!gate)
+        gate.emplace();
+    gate->noteArrival(request.ownPriority, request.arrival.promptTokens, request.target);
+    auto verdict = gate->judge(request.ownPriority, uniform(m_random));
+    if (verdict == PressureGate::Verdict::Raised)
+        request.rank = gate->highestPriority();
+    return verdict != PressureGate::Verdict::Refused;
+}
+
+// Whether the prompt is long among those of the model, and so would hold up the others that wait to be read.
+bool CoreState::hasLongPrompt(const ActiveRequest& request)
+{
+    auto& pool = *request.pool;
+    double tokens = request.arrival.promptTokens;
+    pool.promptTokens += pool.promptTokens > 0 ? promptAveragingWeight * (tokens - pool.promptTokens) : tokens;
+    return tokens >= longPromptRatio * pool.promptTokens;
+}
+
 // Returns how long the request may stay queued, in seconds. isFirst: no remaining request of its lane is ahead of it.
 double CoreState::maxWait(const ActiveRequest& request, bool isFirst) const
 {
     double share = m_config.queueSharePercent / 100.0 * (isFirst ? firstRequestWaitFactor : 1);
-    return secondsOf(request.deadline - request.arrivedAt) * share;
+    double longest = secondsOf(request.deadline - request.arrivedAt) * share;
+    // A ranked request that would be late gives up its place if another one waits for it. Alone, it is still served.
+    if (request.isRanked() && request.pool->queued() > 1) {
+        double reading = request.arrival.promptTokens * request.pool->secondsPerPromptToken;
+        longest = std::min(longest, std::max(0.0, secondsOf(request.target) - reading));
+    }
+    return longest;
+}
+
+// Returns the expected time, in seconds, until the request that arrives gets a slot.
+double CoreState::expectedWait(const ActiveRequest& request) const
+{
+    double wait = 0;
+    for (const auto& [rank, queue] : request.pool->queues) {
+        if (rank > request.rank)
+            break;
+        wait += queue.expectedWait(request.arrival.workspace, request.isLong, freedSlots(*request.pool));
+    }
+    return wait;
 }
 
 // Returns the number of slots that this daemon's running attempts will free, by which the wait of queued requests is
@@ -160,6 +205,16 @@
 }
 
 void CoreState::apply(Instant now, const RequestArrived& input, Decisions& decisions)
+{
+    admit(now, input, 0, {}, decisions);
+}
+
+void CoreState::apply(Instant now, const RankedArrival& input, Decisions& decisions)
+{
+    admit(now, input.arrival, input.priority, std::max<Duration>(input.target, shortestTarget), decisions);
+}
+
+void CoreState::admit(Instant now, const RequestArrived& input, uint8_t priority, Duration target, Decisions& decisions)
 {
     if (m_requests.contains(input.request))
         return;
@@ -174,6 +229,9 @@
     request.deadline = now + (input.deadline > Duration::zero() ? input.deadline : Duration(route->deadline));
     request.weight = m_table->findWorkspace(input.workspace)->weight;
     request.position = input.firstPosition;
+    request.target = target;
+    request.ownPriority = priority;
+    request.rank = priority;
     if (!request.arrival.maxTokens || request.arrival.maxTokens > route->maxTokens)
         request.arrival.maxTokens = route->maxTokens;
     estimateLength(request);
@@ -183,20 +241,22 @@
         return refuse(now, input.request, ResultCode::NoChain, {}, decisions);
     if (auto wait = limitWait(now, request))
         return refuse(now, input.request, ResultCode::LimitExceeded, *wait, decisions);
-    request.isLong = request.expectedTokens >= longRequestTokens;
+    if (request.isRanked() && !passPressure(request))
+        return refuse(now, input.request, ResultCode::Overloaded, pool.pressure->retryAfter(priority), decisions);
+    request.isLong = request.expectedTokens >= longRequestTokens || (request.isRanked() && hasLongPrompt(request));
     double slotSeconds = serviceSeconds(request, request.expectedTokens);
     if (!request.isLong)
         pool.shortDemandSinceTick += slotSeconds;
-    double wait = pool.queue.expectedWait(input.workspace, request.isLong, freedSlots(pool));
+    double wait = expectedWait(request);
     if (wait > maxWait(request, false) || !canMeetDeadline(now, request, wait)) {
         auto hint = Duration(std::llround(std::min(wait, 10.0) * 1e9));
         return refuse(now, input.request, ResultCode::DeadlineUnreachable, hint, decisions);
     }
-    if (pool.queue.size() >= m_config.queueLimit)
+    if (pool.queued() >= m_config.queueLimit)
         return refuse(now, input.request, ResultCode::QueueFull, std::chrono::seconds(1), decisions);
     request.rateChargedTokens = request.expectedTokens;
     chargeLimits(now, request);
-    pool.queue.push(input.workspace, request.weight, { input.request, slotSeconds, request.isLong });
+    request.queue().push(input.workspace, request.weight, { input.request, slotSeconds, request.isLong });
     auto sharedPool = request.pool; // The request is moved into m_requests below.
     m_requests.emplace(input.request, std::move(request));
     dispatchQueued(now, *sharedPool, decisions);
@@ -220,39 +280,50 @@
 // Dispatches queued requests while slots are free. Refuses them all when the pool does not cover all layers.
 void CoreState::dispatchQueued(Instant now, PoolState& pool, Decisions& decisions)
 {
-    if (pool.queue.size())
+    if (pool.queued())
         refreshPool(pool);
     if (!pool.pool.isCovered)
         return refuseAllQueued(now, pool, decisions);
+    for (auto& it : pool.queues) {
+        if (!dispatchQueue(now, pool, it.second, decisions))
+            return;
+    }
+}
+
+bool CoreState::dispatchQueue(Instant now, PoolState& pool, FairQueue& queue, Decisions& decisions)
+{
     bool startedAny = true;
-    while (startedAny && pool.queue.size()) {
+    while (startedAny && queue.size()) {
         startedAny = false;
         if (m_config.sharesCapacity && !pool.gate.mayDispatch(now, m_endpoints, pool.pool))
-            return;
-        for (auto* flow : pool.queue.leastServedFlows(maxFlowsPerSlot)) {
+            return false;
+        for (auto* flow : queue.leastServedFlows(maxFlowsPerSlot)) {
             auto result = QueueResult::LaneBlocked;
             for (size_t lane : flow->laneOrder()) {
                 if (result == QueueResult::LaneBlocked && !flow->lanes[lane].empty())
                     result = tryDispatchFirst(now, pool, *flow, lane, decisions);
             }
             if (result == QueueResult::NoSlot)
-                return;
+                return false;
             if (result == QueueResult::Dequeued) {
                 startedAny = true;
                 break;
             }
         }
     }
+    return true;
 }
 
 // Refuses all queued requests of a pool that has no endpoint left for some layer.
 void CoreState::refuseAllQueued(Instant now, PoolState& pool, Decisions& decisions)
 {
     std::vector<RequestId> waiting;
-    for (const auto& it : pool.queue.flows()) {
-        for (const auto& lane : it.second.lanes) {
-            for (const auto& queued : lane)
-                waiting.push_back(queued.request);
+    for (auto& queue : pool.queues) {
+        for (const auto& it : queue.second.flows()) {
+            for (const auto& lane : it.second.lanes) {
+                for (const auto& queued : lane)
+                    waiting.push_back(queued.request);
+            }
         }
     }
     for (const auto& id : waiting)
@@ -275,8 +346,9 @@
         return QueueResult::LaneBlocked;
     if (!dispatch(now, request, request.position, true, decisions))
         return QueueResult::NoSlot;
-    pool.queue.erase(request.arrival.workspace, id);
-    pool.queue.charge(request.arrival.workspace, request.weight, request.isLong, request.arrival.promptTokens);
+    auto& queue = request.queue();
+    queue.erase(request.arrival.workspace, id);
+    queue.charge(request.arrival.workspace, request.weight, request.isLong, request.arrival.promptTokens);
     request.chargedPosition = request.position;
     pool.gate.redrawThreshold(m_random);
     if (request.isLong)
@@ -289,17 +361,19 @@
 void CoreState::refuseLate(Instant now, PoolState& pool, Decisions& decisions)
 {
     std::vector<std::pair<RequestId, double>> late;
-    for (const auto& it : pool.queue.flows()) {
-        for (const auto& lane : it.second.lanes) {
-            double ahead = 0;
-            for (const auto& queued : lane) {
-                const auto& request = m_requests.at(queued.request);
-                double wait = pool.queue.expectedWaitBehind(it.second, ahead, freedSlots(pool));
-                bool waitsTooLong = secondsOf(now - request.arrivedAt) > maxWait(request, ahead <= 0);
-                if (waitsTooLong || !canMeetDeadline(now, request, wait))
-                    late.emplace_back(queued.request, wait);
-                else
-                    ahead += queued.slotSeconds;
+    for (auto& [rank, queue] : pool.queues) {
+        for (const auto& it : queue.flows()) {
+            for (const auto& lane : it.second.lanes) {
+                double ahead = 0;
+                for (const auto& queued : lane) {
+                    const auto& request = m_requests.at(queued.request);
+                    double wait = queue.expectedWaitBehind(it.second, ahead, freedSlots(pool));
+                    bool waitsTooLong = secondsOf(now - request.arrivedAt) > maxWait(request, ahead <= 0);
+                    if (waitsTooLong || !canMeetDeadline(now, request, wait))
+                        late.emplace_back(queued.request, wait);
+                    else
+                        ahead += queued.slotSeconds;
+                }
             }
         }
     }
--- a/src/core/CoreState.cpp
+++ b/src/core/CoreState.cpp
@@ -42,6 +42,13 @@
         return remainingTokens <= 1024 ? 2 : priorityLevels - 1;
     }
 
+    // Engines read short prompts of a rank before its long ones, and these beside the short ones of the next rank.
+    uint8_t servedPriority(const ActiveRequest& request)
+    {
+        constexpr uint8_t lowest = 9;
+        return static_cast<uint8_t>(std::min<int>(lowest, request.rank + request.isLong));
+    }
+
     void updateAverage(double& average, double value)
     {
         average += average > 0 ? averagingWeight * (value - average) : value;
@@ -56,6 +63,14 @@
 
 } // namespace
 
+size_t PoolState::queued() const
+{
+    size_t n = 0;
+    for (const auto& it : queues)
+        n += it.second.size();
+    return n;
+}
+
 CoreState::CoreState(const CoreConfig& config)
     : m_config(config)
     , m_random(config.seed)
@@ -113,7 +128,7 @@
     request.hasFirstToken = false;
     request.position = position;
     request.startPosition = position;
-    request.priority = priorityOf(request.expectedTokens - position);
+    request.priority = request.isRanked() ? servedPriority(request) : priorityOf(request.expectedTokens - position);
     ++request.attempt;
     for (auto index : request.hops)
         m_endpoints[index].breaker.recordAttempt(now);
@@ -160,6 +175,9 @@
     if (!request || request->hasFirstToken)
         return;
     request->hasFirstToken = true;
+    if (request->isRanked())
+        request->pool->pressure->noteBegun(
+            request->ownPriority, request->arrival.promptTokens, now - request->arrivedAt);
     learnFirstToken(now, *request);
     request->progressAt = now;
     request->position = request->startPosition + 1;
@@ -216,7 +234,7 @@
     if (position <= request.chargedPosition)
         return;
     double tokens = position - request.chargedPosition;
-    request.pool->queue.charge(request.arrival.workspace, request.weight, request.isLong, tokens);
+    request.queue().charge(request.arrival.workspace, request.weight, request.isLong, tokens);
     request.chargedPosition = position;
 }
 
@@ -230,6 +248,8 @@
         request.isLong = true;
         ++request.pool->runningLong;
     }
+    if (request.isRanked())
+        return;
     auto priority = priorityOf(request.expectedTokens - request.position);
     // Priorities are only lowered here, so that shorter requests can overtake. An answer near its end needs no raise.
     if (priority <= request.priority)
@@ -343,7 +363,7 @@
     if (it == m_requests.end())
         return;
     auto pool = it->second.pool;
-    pool->queue.erase(it->second.arrival.workspace, input.request);
+    it->second.queue().erase(it->second.arrival.workspace, input.request);
     releaseSlots(now, it->second);
     remove(it);
     dispatchQueued(now, *pool, decisions);
@@ -438,7 +458,9 @@
 void CoreState::apply(Instant now, const Tick&, Decisions& decisions)
 {
     double seconds = m_lastTick == Instant() ? 0 : secondsOf(now - m_lastTick);
+    auto sinceLast = m_lastTick == Instant() ? Duration::zero() : now - m_lastTick;
     m_lastTick = now;
+    updatePressure(now, sinceLast);
     bool shouldRedraw = now - m_lastRedraw >= redrawInterval;
     if (shouldRedraw)
         m_lastRedraw = now;
@@ -453,7 +475,8 @@
         if (shouldRedraw) {
             pool.gate.redrawThreshold(m_random);
             pool.longThreshold = uniform(m_random);
-            pool.queue.removeIdleFlows();
+            for (auto& queue : pool.queues)
+                queue.second.removeIdleFlows();
         }
         refuseLate(now, pool, decisions);
         dispatchQueued(now, pool, decisions);
@@ -465,7 +488,7 @@
 void CoreState::raiseStarvedPriorities(Instant now, Decisions& decisions)
 {
     for (auto& [id, request] : m_requests) {
-        if (!request.attempt || request.hasFirstToken || !request.priority)
+        if (!request.attempt || request.hasFirstToken || !request.priority || request.isRanked())
             continue;
         double waited = secondsOf(now - request.progressAt);
         if (waited < 1 + lateFactor * request.plannedFirstTokenSeconds)
@@ -476,6 +499,49 @@
     }
 }
 
+void CoreState::updatePressure(Instant now, Duration sinceLast)
+{
+    std::map<const PoolState*, std::map<uint8_t, double>> unread;
+    for (const auto& [id, request] : m_requests) {
+        bool isUnread = request.isRanked() && !request.hasFirstToken;
+        if (isUnread && request.pool->pressure->isWaiting(request.ownPriority, now - request.arrivedAt))
+            unread[request.pool.get()][request.rank] += request.arrival.promptTokens;
+    }
+    for (const auto& it : m_pools) {
+        if (it.second->pressure)
+            it.second->pressure->update(now, sinceLast, unread[it.second.get()]);
+    }
+}
+
+void CoreState::apply(Instant now, const PressureReported& input, Decisions&)
+{
+    for (const auto& it : input.models) {
+        auto found = m_poolOfRoute.find(it.model);
+        if (found != m_poolOfRoute.end() && found->second->pressure)
+            found->second->pressure->adopt(now - std::max(Duration::zero(), input.age), it.loads);
+    }
+}
+
+std::vector<ModelPressure> CoreState::ownPressure() const
+{
+    std::vector<ModelPressure> models;
+    for (const auto& [route, pool] : m_poolOfRoute) {
+        if (pool->pressure)
+            models.push_back({ route, pool->pressure->ownLoad() });
+    }
+    return models;
+}
+
+std::vector<ModelAdmission> CoreState::admission() const
+{
+    std::vector<ModelAdmission> models;
+    for (const auto& [route, pool] : m_poolOfRoute) {
+        if (pool->pressure)
+            models.push_back({ route, pool->pressure->levels() });
+    }
+    return models;
+}
+
 std::vector<EndpointLoad> CoreState::ownLoad() const
 {
     std::vector<EndpointLoad> load;
--- a/src/core/DecisionCore.cpp
+++ b/src/core/DecisionCore.cpp
@@ -28,6 +28,16 @@
     return m_impl->ownLoad();
 }
 
+std::vector<ModelPressure> DecisionCore::ownPressure() const
+{
+    return m_impl->ownPressure();
+}
+
+std::vector<ModelAdmission> DecisionCore::admission() const
+{
+    return m_impl->admission();
+}
+
 CoreStatus DecisionCore::status() const
 {
     return m_impl->status();
--- a/src/core/ResultCode.cpp
+++ b/src/core/ResultCode.cpp
@@ -45,6 +45,7 @@
         CodeEntry { ResultCode::IdempotencyKeyReused, "idempotency-key-reused", exDataError, 422 },
         CodeEntry { ResultCode::TableNotReady, "table-not-ready", exTempFail, 503 },
         CodeEntry { ResultCode::PromptPartBlocked, "prompt-part-blocked", exTempFail, 503 },
+        CodeEntry { ResultCode::Overloaded, "overloaded", exTempFail, 503 },
         CodeEntry { ResultCode::EndpointFailed, "endpoint-failed", exUnavailable, 502 },
         CodeEntry { ResultCode::AttemptsExhausted, "attempts-exhausted", exUnavailable, 502 },
         CodeEntry { ResultCode::DeadlineExceeded, "deadline-exceeded", exUnavailable, 504 },
--- a/src/core/routing/RoutingConfiguration.cpp
+++ b/src/core/routing/RoutingConfiguration.cpp
@@ -22,6 +22,49 @@
     return it == services.end() ? nullptr : &*it;
 }
 
+RequestRanks::RequestRanks(const RoutingConfiguration& configuration)
+    : m_workspacePriorities(configuration.workspacePriorities)
+{
+    std::map<std::string, std::vector<const RouteSettings*>> routes; // By service.
+    for (const auto& route : configuration.routes) {
+        for (const auto& share : route.shares)
+            routes[share.service].push_back(&route);
+    }
+    for (const auto& [name, ofService] : routes) {
+        const auto* service = configuration.findService(name);
+        auto differs = [&](const RouteSettings* it) { return it->priority != ofService.front()->priority; };
+        if (!service || !service->model || std::none_of(ofService.begin(), ofService.end(), differs))
+            continue;
+        std::map<Priorities, uint8_t> ranks;
+        for (const auto* route : ofService) {
+            for (const auto& workspace : configuration.workspaces)
+                ranks.emplace(prioritiesOf(*route, workspace), 0);
+        }
+        uint8_t next = 0;
+        for (auto& it : ranks) {
+            it.second = next;
+            next = std::min<uint8_t>(next + 1, maxRanks - 1);
+        }
+        m_ranks.emplace(name, std::move(ranks));
+    }
+}
+
+RequestRanks::Priorities RequestRanks::prioritiesOf(const RouteSettings& route, const WorkspaceId& workspace) const
+{
+    auto it = m_workspacePriorities.find(workspace);
+    return { it == m_workspacePriorities.end() ? route.priority : it->second, route.priority };
+}
+
+std::optional<uint8_t> RequestRanks::find(
+    const std::string& service, const RouteSettings& route, const WorkspaceId& workspace) const
+{
+    auto ranks = m_ranks.find(service);
+    if (ranks == m_ranks.end())
+        return std::nullopt;
+    auto it = ranks->second.find(prioritiesOf(route, workspace));
+    return it == ranks->second.end() ? static_cast<uint8_t>(maxRanks - 1) : it->second;
+}
+
 RouteIndex::RouteIndex(const RoutingConfiguration& configuration)
 {
     for (const auto& route : configuration.routes)
--- a/src/daemon/Metrics.cpp
+++ b/src/daemon/Metrics.cpp
@@ -57,6 +57,7 @@
         { "loop_delay_seconds", "Time by which the traffic thread ran late" },
     } };
 
+    constexpr std::array<const char*, serviceLevelCount> levelNames { "in-time", "late", "refused", "failed" };
     constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
     // Upper bounds of the histograms' buckets in seconds: from a decision's time to a stream's.
     constexpr std::array<double, 13> bucketBounds { 0.0001, 0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5,
@@ -151,6 +152,25 @@
     ++m_results[code];
 }
 
+void Metrics::addServed(uint8_t priority, ServiceLevel level)
+{
+    auto row = std::min<size_t>(priority, priorityCount - 1);
+    m_served[row][static_cast<size_t>(level)].fetch_add(1, std::memory_order_relaxed);
+}
+
+void Metrics::writeServed(std::ostream& out) const
+{
+    writeHead(out, "served_total", "Requests by priority and by how they were served", "counter");
+    for (size_t priority = 0; priority < priorityCount; ++priority) {
+        for (size_t level = 0; level < serviceLevelCount; ++level) {
+            auto n = m_served[priority][level].load(std::memory_order_relaxed);
+            if (n)
+                out << prefix << "served_total{priority=\"" << priority << "\",level=\"" << levelNames[level] << "\"} "
+                    << n << '\n';
+        }
+    }
+}
+
 void Metrics::observe(Distribution distribution, Duration value)
 {
     m_summaries[static_cast<size_t>(distribution)]->add(std::chrono::duration<double>(value).count());
@@ -175,6 +195,7 @@
             out << prefix << "results_total{code=\"" << static_cast<unsigned>(code) << "\",name=\"" << resultName(code)
                 << "\"} " << n << '\n';
     }
+    writeServed(out);
     for (const auto& it : m_gauges) {
         writeHead(out, it.name, it.help, "gauge");
         out << prefix << it.name << ' ' << it.read() << '\n';
--- a/src/daemon/Metrics.h
+++ b/src/daemon/Metrics.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <atomic>
 #include <functional>
+#include <iosfwd>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -45,6 +46,17 @@
 };
 constexpr size_t counterCount = static_cast<size_t>(Counter::RequestsWithheld) + 1;
 
+// How a request ended, as its caller sees it.
+enum class ServiceLevel : uint8_t {
+    InTime, // Whole, and within the objectives of its route.
+    Late, // Whole.
+    Refused, // Not run.
+    Failed,
+};
+constexpr size_t serviceLevelCount = static_cast<size_t>(ServiceLevel::Failed) + 1;
+// Priorities that are told apart; lower ones count with the last.
+constexpr size_t priorityCount = 10;
+
 enum class Distribution : uint8_t {
     DecisionTime, // Of one input in the decision core.
     ControlWait, // From the moment an input is posted until it is applied.
@@ -65,6 +77,7 @@
     void add(Counter, uint64_t amount = 1);
     uint64_t value(Counter) const;
     void addResult(ResultCode); // Counts how a request ended.
+    void addServed(uint8_t priority, ServiceLevel); // Counts how a request of this priority ended.
     void observe(Distribution, Duration);
 
     // Adds a figure that is read each time the text is made. Call it before the first reader starts.
@@ -81,7 +94,10 @@
     };
     class Summary;
 
+    void writeServed(std::ostream&) const;
+
     std::array<std::atomic<uint64_t>, counterCount> m_counters {};
+    std::array<std::array<std::atomic<uint64_t>, serviceLevelCount>, priorityCount> m_served {};
     std::array<std::unique_ptr<Summary>, distributionCount> m_summaries;
     mutable std::mutex m_resultMutex;
     std::map<ResultCode, uint64_t> m_results;
--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -289,6 +289,7 @@
     request.service = chooseService(*route, RequestId(wireId));
     const auto* service = view->configuration->findService(request.service);
     request.isModel = service && service->model;
+    request.rank = view->ranks->find(request.service, *route, request.workspace);
     request.configurationVersion = view->configuration->version;
     request.arrivedAt = arrivedAt;
     auto callerWaits = parseNumber<uint32_t>(message[names.deadline]);
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -86,6 +86,7 @@
                   question.heartbeatsOf = m_directory.silentEndpoints();
                   question.wantsHeartbeats = !question.heartbeatsOf.empty();
                   question.load = m_core.ownLoad();
+                  question.pressure = m_core.ownPressure();
                   return question;
               },
               [this](const Facts& facts, Instant askedAt) { return adoptFacts(facts, askedAt); },
@@ -297,6 +298,8 @@
     // The answer counts this daemon's attempts as they were when it asked.
     if (facts.load)
         adoptLoad(*facts.load, askedAt);
+    if (!facts.pressure.empty())
+        apply(PressureReported { facts.pressure, m_clock.now() - askedAt });
     return true;
 }
 
@@ -310,12 +313,14 @@
     m_configuration = configuration;
     m_document = document;
     m_routes = std::make_shared<const RouteIndex>(*m_configuration);
+    m_ranks = std::make_shared<const RequestRanks>(*m_configuration);
     m_planner.adopt(m_configuration);
     declareAccelerators();
     m_metrics.add(daemon::Counter::TablesAdopted);
     m_journal.write(LineKind::Info, "configuration-adopted",
         { { "version", m_configuration->version }, { "routes", m_configuration->routes.size() },
-            { "services", m_configuration->services.size() }, { "keys", m_configuration->workspaceByKey.size() } });
+            { "services", m_configuration->services.size() }, { "keys", m_configuration->workspaceByKey.size() },
+            { "ranked_models", m_ranks->models() } });
     publish();
     noteAdoption(began);
 }
@@ -339,6 +344,7 @@
     auto view = std::make_shared<RoutingView>();
     view->configuration = m_configuration;
     view->routes = m_routes;
+    view->ranks = m_ranks;
     for (const auto& it : endpoints)
         view->endpoints.emplace(it.endpoint, it);
     // The traffic thread receives the endpoints' addresses before the decisions that name them.
@@ -513,6 +519,24 @@
         apply(declared);
 }
 
+// Logs when a priority begins or ends to be refused, and when its last requests but those of the floor are.
+void Control::noteAdmission()
+{
+    for (const auto& model : m_core.admission()) {
+        for (const auto& it : model.levels) {
+            auto level = it.admitted >= 1 ? Admission::Full : it.admitted > 0 ? Admission::Partial : Admission::None;
+            auto& logged = m_loggedAdmission[{ model.model, it.priority }];
+            if (logged == level)
+                continue;
+            logged = level;
+            m_journal.write(LineKind::Info, "pressure-changed",
+                { { "service", model.model.value() }, { "priority", it.priority },
+                    { "admitted_percent", static_cast<int>(it.admitted * 100) }, { "wait_ms", millisecondsOf(it.wait) },
+                    { "overload", it.overload }, { "of_all_daemons", it.isShared } });
+        }
+    }
+}
+
 net::awaitable<void> Control::tick()
 {
     net::steady_timer timer(m_io);
@@ -525,11 +549,15 @@
         if (number % loadTicks == 0) {
             if (auto load = m_sharing.load())
                 adoptLoad(withReports(*load), m_clock.now());
+            auto pressure = m_sharing.pressure();
+            if (!pressure.empty())
+                apply(PressureReported { std::move(pressure), Duration::zero() });
         }
         m_planner.setCandidate(m_sharing.isLastingReader() || m_settings.isPreferredPlanner);
         for (const auto& it : m_pauses.takeEnded(m_clock.now()))
             apply(EndpointStateReported { it, EndpointStateSource::Health, EndpointAvailability::Serving });
         apply(Tick { number });
+        noteAdmission();
     }
 }
 
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -59,6 +59,7 @@
     // Attempts of all daemons of the data centre at its engines, as they were at measuredAt.
     void adoptLoad(const std::vector<EndpointLoad>&, Instant measuredAt);
     void declareAccelerators();
+    void noteAdmission();
     // While this daemon reads the platform, asks the heads of chains for the requests of all daemons.
     net::awaitable<void> followHeads();
     net::awaitable<void> askEngine(EndpointSighting);
@@ -89,9 +90,12 @@
     std::shared_ptr<const RoutingConfiguration> m_configuration;
     std::shared_ptr<const std::string> m_document; // That m_configuration was decoded from.
     std::shared_ptr<const RouteIndex> m_routes; // Of m_configuration.
+    std::shared_ptr<const RequestRanks> m_ranks; // Of m_configuration.
     Instant m_confirmedAt {}; // When the platform last vouched for m_configuration, or for its absence.
     size_t m_retryHosts = 0; // Daemons among which the repetitions were last divided.
     size_t m_peers = 0; // As the core was last told.
+    enum class Admission : uint8_t { Full, Partial, None };
+    std::map<std::pair<RouteId, uint8_t>, Admission> m_loggedAdmission; // By model and priority.
     struct HeadLoad {
         uint32_t requests = 0; // Running and waiting ones.
         Instant reportedAt {};
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -43,6 +43,8 @@
     if (std::holds_alternative<Reprioritize>(decision))
         return;
     m_decision = decision;
+    if (!m_decidedAt)
+        m_decidedAt = m_context.clock.now();
     m_decisionTimer.cancel();
     if (m_connection && m_silent && std::holds_alternative<Dispatch>(decision)) {
         m_movedFrom = m_silent;
@@ -133,6 +135,24 @@
     m_context.journal.write(LineKind::Decision, event, fields);
 }
 
+daemon::ServiceLevel Exchange::serviceLevel(ResultCode code, unsigned status, Duration took) const
+{
+    if (code != ResultCode::Ok)
+        return status == 503 ? daemon::ServiceLevel::Refused : daemon::ServiceLevel::Failed;
+    const auto& route = m_request.route;
+    auto answered = m_firstEventAt ? *m_firstEventAt - m_request.arrivedAt : took;
+    bool isPaused = route.targetEventGap.count() && m_longestGap > route.targetEventGap;
+    bool isLate = isPaused || answered > route.targetLatency;
+    return isLate ? daemon::ServiceLevel::Late : daemon::ServiceLevel::InTime;
+}
+
+std::vector<LineField> Exchange::requestFields() const
+{
+    return { { "route", m_request.route.route.value() }, { "priority", m_request.route.priority },
+        { "rank", m_request.rank ? *m_request.rank : -1 }, { "prompt_tokens", m_request.promptTokens },
+        { "queued_ms", m_decidedAt ? millisecondsOf(*m_decidedAt - m_request.arrivedAt) : -1 } };
+}
+
 const char* Exchange::nameOf(EndedBy by)
 {
     switch (by) {
@@ -155,18 +175,22 @@
     if (by == EndedBy::Router && m_hasBegun)
         m_context.metrics.add(daemon::Counter::AnswersCut);
     m_context.metrics.addResult(code);
+    if (by != EndedBy::Caller)
+        m_context.metrics.addServed(m_request.route.priority, serviceLevel(code, status, took));
     m_context.metrics.add(daemon::Counter::RequestsFinished);
     m_context.metrics.observe(daemon::Distribution::RequestTime, took);
-    note("request-ended",
-        { { "code", static_cast<int>(code) }, { "result", resultName(code) }, { "status", status },
-            { "took_ms", millisecondsOf(took) }, { "sends", m_sends }, { "heads", m_heads.size() },
-            { "heads_counted", countedHeads() }, { "events", m_events.delivered() },
-            { "first_event_ms", m_firstEventAt ? millisecondsOf(*m_firstEventAt - m_request.arrivedAt) : -1 },
-            { "longest_gap_ms", millisecondsOf(m_longestGap) }, { "ended_by", nameOf(by) }, { "no_repeat", m_noRepeat },
-            { "last_byte_ms", m_byteAt ? millisecondsOf(now - *m_byteAt) : -1 },
-            { "held_up_ms", millisecondsOf(m_context.recentDelay()) },
-            { "configuration_began", m_request.configurationVersion },
-            { "configuration_ended", m_context.currentView()->configuration->version } });
+    std::vector<LineField> fields { { "code", static_cast<int>(code) }, { "result", resultName(code) },
+        { "status", status }, { "took_ms", millisecondsOf(took) }, { "sends", m_sends }, { "heads", m_heads.size() },
+        { "heads_counted", countedHeads() }, { "events", m_events.delivered() },
+        { "first_event_ms", m_firstEventAt ? millisecondsOf(*m_firstEventAt - m_request.arrivedAt) : -1 },
+        { "longest_gap_ms", millisecondsOf(m_longestGap) }, { "ended_by", nameOf(by) }, { "no_repeat", m_noRepeat },
+        { "last_byte_ms", m_byteAt ? millisecondsOf(now - *m_byteAt) : -1 },
+        { "held_up_ms", millisecondsOf(m_context.recentDelay()) },
+        { "configuration_began", m_request.configurationVersion },
+        { "configuration_ended", m_context.currentView()->configuration->version } };
+    auto ofRequest = requestFields();
+    fields.insert(fields.end(), ofRequest.begin(), ofRequest.end());
+    note("request-ended", std::move(fields));
 }
 
 net::awaitable<std::optional<CoreDecision>> Exchange::nextDecision()
@@ -186,8 +210,12 @@
     m_context.metrics.add(daemon::Counter::RequestsArrived);
     if (isWithheld())
         co_return co_await withhold();
-    m_context.postInput(RequestArrived { m_request.id, m_request.workspace, RouteId(m_request.service),
-        m_request.promptTokens, m_request.maxTokens, 0, {}, timeLeft() });
+    RequestArrived arrival { m_request.id, m_request.workspace, RouteId(m_request.service), m_request.promptTokens,
+        m_request.maxTokens, 0, {}, timeLeft() };
+    if (m_request.rank)
+        m_context.postInput(RankedArrival { std::move(arrival), *m_request.rank, m_request.route.targetLatency });
+    else
+        m_context.postInput(std::move(arrival));
     auto end = co_await runAttempts();
     m_standby.reset();
     m_returning.reset();
@@ -350,9 +378,11 @@
 net::awaitable<ExchangeEnd> Exchange::refuse(const Refuse& refused)
 {
     auto longest = std::max(Duration::zero(), timeLeft()) / retryAfterShare;
-    note("refused",
+    auto fields = requestFields();
+    fields.insert(fields.begin(),
         { { "code", static_cast<int>(refused.code) }, { "result", resultName(refused.code) },
             { "table_revision", refused.tableRevision } });
+    note("refused", std::move(fields));
     co_return co_await sendError(refused.code, 503, std::min(refused.retryAfter, longest));
 }
 
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -64,6 +64,7 @@
     RouteSettings route;
     std::string service;
     bool isModel = false;
+    std::optional<uint8_t> rank; // Among the requests to a model whose routes differ in priority; see RequestRanks.
     Instant arrivedAt {};
     Instant deadline {}; // The earlier one of the caller's deadline and the route's timeout.
     uint32_t promptTokens = 0;
@@ -208,6 +209,9 @@
     net::awaitable<ExchangeEnd> sendAnswer();
     net::awaitable<ExchangeEnd> sendError(ResultCode, unsigned status, std::optional<Duration> retryAfter);
     void note(const char* event, std::vector<LineField> fields);
+    daemon::ServiceLevel serviceLevel(ResultCode, unsigned status, Duration took) const;
+    // Who asked for what, and how long the request waited in this daemon.
+    std::vector<LineField> requestFields() const;
     // Who ended the exchange, for its last line in the log.
     enum class EndedBy : uint8_t { Endpoint, Router, Deadline, Caller };
     static const char* nameOf(EndedBy);
@@ -224,6 +228,7 @@
     EndpointConnection* m_connection = nullptr; // Of the running attempt; owned by attempt().
     EndpointSighting m_head;
     uint32_t m_attempt = 0; // Number of the running attempt.
+    uint8_t m_attemptPriority = 0; // Of the running attempt at its endpoints; only a ranked request has one.
     std::optional<OpenAttempt> m_standby; // Set aside, and kept until an event of another attempt has arrived.
     std::optional<OpenAttempt> m_returning; // It was set aside and has gone on; the running attempt makes room for it.
     std::optional<EndpointId> m_silent; // For which the core was asked last about another attempt.
@@ -231,6 +236,7 @@
     std::optional<EndpointId> m_movedFrom; // Set when the running attempt was ended because this endpoint is silent.
     bool m_isAbandoned = false; // The core makes no further decision about the request.
     Instant m_progressAt {}; // Last event of the running attempt, or when it was sent.
+    std::optional<Instant> m_decidedAt; // When the first attempt was decided on, or the request refused.
     std::optional<Instant> m_firstEventAt;
     Instant m_eventAt {}; // When the last event was passed on; valid after the first one.
     Duration m_longestGap {}; // Between two events that the caller received.
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -38,6 +38,7 @@
     m_movedFrom.reset();
     m_silent.reset();
     m_attempt = dispatch.attempt;
+    m_attemptPriority = dispatch.priority;
     m_events.discardPartialEvent();
     auto view = m_context.currentView();
     const auto& first = dispatch.chain.front().endpoint;
@@ -52,7 +53,8 @@
     m_head = *head;
     note("dispatched",
         { { "attempt", dispatch.attempt }, { "endpoint", first.value() }, { "chain", *chain },
-            { "table_revision", dispatch.tableRevision }, { "left_ms", millisecondsOf(timeLeft()) } });
+            { "table_revision", dispatch.tableRevision }, { "left_ms", millisecondsOf(timeLeft()) },
+            { "rank", m_request.rank ? dispatch.priority : -1 } });
     m_context.metrics.add(daemon::Counter::AttemptsStarted);
     // The same head would not tell the two runs apart.
     if (m_standby && !m_standby->hasDelivered && m_standby->head.endpoint == first)
@@ -170,6 +172,8 @@
     forwarded.instance = m_head.instance;
     forwarded.chain = std::move(chain);
     forwarded.lastEvent = m_events.lastId();
+    if (m_request.rank)
+        forwarded.priority = m_attemptPriority;
     auto message = forwardRequest(m_context.settings.headers, forwarded);
     ErrorCode ec;
     co_await http::async_write(connection.stream, message, awaitInto(ec));
--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -5,6 +5,7 @@
 #include "adapters/JsonFields.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jacinthspindle::router {
 
@@ -140,6 +141,47 @@
         return load;
     }
 
+    // A figure of a rate or an amount; the sums of other daemons are used as they are.
+    double figureOf(const Json& json)
+    {
+        constexpr double most = 1e9;
+        double figure = json.get<double>();
+        if (!(figure >= 0 && figure <= most))
+            throw internal::JsonError("expected a figure of pressure");
+        return figure;
+    }
+
+    Json encodePressure(const std::vector<ModelPressure>& models)
+    {
+        auto list = Json::array();
+        for (const auto& model : models) {
+            auto loads = Json::array();
+            for (const auto& it : model.loads)
+                loads.push_back(Json::array(
+                    { it.priority, std::round(it.unreadTokens), std::round(it.demand), std::round(it.begun) }));
+            list.push_back(Json::array({ model.model.value(), std::move(loads) }));
+        }
+        return list;
+    }
+
+    std::vector<ModelPressure> decodePressure(const Json& json)
+    {
+        constexpr size_t members = 4;
+        std::vector<ModelPressure> models;
+        for (const auto& model : internal::listOf(json, "pressure")) {
+            if (!model.is_array() || model.size() != 2 || !model[1].is_array())
+                throw internal::JsonError("expected the pressure on a model");
+            models.push_back({ RouteId(model[0].get<std::string>()), {} });
+            for (const auto& it : model[1]) {
+                if (!it.is_array() || it.size() != members)
+                    throw internal::JsonError("expected the load of a priority");
+                models.back().loads.push_back(
+                    { internal::toNumber<uint8_t>(it[0]), figureOf(it[1]), figureOf(it[2]), figureOf(it[3]) });
+            }
+        }
+        return models;
+    }
+
     Facts decode(const Json& json)
     {
         Facts facts;
@@ -170,6 +212,8 @@
         facts.peers = numberOf<uint32_t>(json, "peers");
         if (json.contains("load"))
             facts.load = decodeLoad(json);
+        if (json.contains("pressure"))
+            facts.pressure = decodePressure(json);
         return facts;
     }
 
@@ -208,6 +252,8 @@
         json["observation"] = question.observation;
         json["heartbeats_of"] = encodeIds(question.heartbeatsOf);
     }
+    if (!question.pressure.empty())
+        json["pressure"] = encodePressure(question.pressure);
     return internal::dumpJson(json).value_or(std::string());
 }
 
@@ -235,6 +281,8 @@
             question.observation = numberOf<uint64_t>(json, "observation");
             question.heartbeatsOf = decodeIds(json, "heartbeats_of");
         }
+        if (json.contains("pressure"))
+            question.pressure = decodePressure(json);
         return question;
     });
 }
@@ -262,6 +310,8 @@
         json["returned_since_ms"] = encodeAge(*facts.returnedSince);
     if (facts.load)
         json["load"] = encodeLoad(*facts.load);
+    if (!facts.pressure.empty())
+        json["pressure"] = encodePressure(facts.pressure);
     // Names that are not UTF-8 were refused when the platform's answers were decoded.
     return internal::dumpJson(json).value_or(std::string());
 }
--- a/src/router/FactRelay.h
+++ b/src/router/FactRelay.h
@@ -22,6 +22,7 @@
     bool isReader = false; // The asking daemon reads the platform itself, with success.
     uint64_t observation = 0; // Number of the last observation in the last answer.
     std::vector<EndpointId> heartbeatsOf; // Endpoints that are sent also when only their heartbeats have changed.
+    std::vector<ModelPressure> pressure; // Of the asking daemon's requests; empty from earlier releases.
     bool operator==(const FactQuestion&) const = default;
 };
 
@@ -51,6 +52,8 @@
     // Attempts of all daemons of the data centre, by engine, without those that have none. Nothing while the answering
     // daemon has not heard from most of them.
     std::optional<std::vector<EndpointLoad>> load;
+    // Of all daemons of the data centre; empty while no model's requests differ in priority, and as for load.
+    std::vector<ModelPressure> pressure;
     bool operator==(const Facts&) const = default;
 };
 
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -352,23 +352,39 @@
     m_last.endpointsRevision = 0;
 }
 
-std::optional<std::vector<EndpointLoad>> FactSharing::load()
+bool FactSharing::knowsLoad()
 {
     auto now = m_clock.now();
     if (!isReadingWell() || now - m_readingSince < loadCollectionTime)
+        return false;
+    auto own = m_port.ask();
+    m_loadAggregator.updateReport(now, m_name, own.load);
+    m_pressureAggregator.updateReport(now, m_name, std::move(own.pressure));
+    return m_loadAggregator.reportingDaemons(now) * 2 >= m_sourceSelector.localHosts();
+}
+
+std::optional<std::vector<EndpointLoad>> FactSharing::load()
+{
+    if (!knowsLoad())
         return std::nullopt;
-    m_loadAggregator.updateReport(now, m_name, m_port.ask().load);
-    if (m_loadAggregator.reportingDaemons(now) * 2 < m_sourceSelector.localHosts())
-        return std::nullopt;
-    return m_loadAggregator.sum(now);
+    return m_loadAggregator.sum(m_clock.now());
+}
+
+std::vector<ModelPressure> FactSharing::pressure()
+{
+    if (!knowsLoad())
+        return {};
+    return m_pressureAggregator.sum(m_clock.now());
 }
 
 std::optional<FactQuestion> FactSharing::receive(const TextRequest& request)
 {
     auto question = decodeQuestion(request.target, request.body);
     m_metrics.add(question ? daemon::Counter::PeerMessagesReceived : daemon::Counter::PeerMessagesRejected);
-    if (question && !question->asker.empty())
+    if (question && !question->asker.empty()) {
         m_loadAggregator.updateReport(m_clock.now(), question->asker, question->load);
+        m_pressureAggregator.updateReport(m_clock.now(), question->asker, question->pressure);
+    }
     if (question && question->isReader && !question->host.isEmpty() && !isReadingWell()) {
         m_sourceSelector.recordReader(question->host);
         m_change.notify();
@@ -413,6 +429,7 @@
         facts.observations = m_observations.since(m_clock.now(), question->observation);
     }
     if (auto told = load()) {
+        facts.pressure = m_pressureAggregator.sum(m_clock.now());
         auto all = m_port.withReports(std::move(*told));
         if (m_loadPace.takeTurn(
                 m_clock.now(), question->asker, m_loadAggregator.reportingDaemons(m_clock.now()), all.size()))
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -65,11 +65,15 @@
     // Attempts of all daemons of the data centre, as they told this one. Nothing while this daemon does not read the
     // platform well, or has not heard from most of them.
     std::optional<std::vector<EndpointLoad>> load();
+    // The same for the pressure on models; empty where load() has nothing.
+    std::vector<ModelPressure> pressure();
 
     // Answers another daemon as soon as there is news for it, or after a while.
     net::awaitable<TextAnswer> answer(TextRequest);
 
 private:
+    // The daemons of the data centre have told this one their load, and it reads the platform well.
+    bool knowsLoad();
     net::awaitable<void> followHosts();
     net::awaitable<bool> enterHosts();
     net::awaitable<void> followPeers();
@@ -113,6 +117,7 @@
     size_t m_relayedPeers = 0; // As the source last told.
     HostId m_namedReader; // That the last answer named as the source of the answering daemon.
     LoadAggregator m_loadAggregator;
+    PressureAggregator m_pressureAggregator;
     LoadPace m_loadPace;
     ObservationLog m_observations; // Of the daemons that follow this one, and its own.
     bool m_takesObservations = false; // The source is of a release that does.
--- a/src/router/Headers.cpp
+++ b/src/router/Headers.cpp
@@ -74,6 +74,8 @@
         out.set(names.workspace, request.workspace.value());
     if (!request.chain.empty())
         out.set(names.chain, request.chain);
+    if (request.priority)
+        out.set(names.priority, std::to_string(*request.priority));
     if (request.lastEvent)
         out.set(names.lastEvent, std::to_string(*request.lastEvent));
     out.body() = caller.body();
--- a/src/router/Headers.h
+++ b/src/router/Headers.h
@@ -17,6 +17,7 @@
     std::string instance; // Of the endpoint that is meant.
     std::string chain; // Empty for a plain service.
     std::optional<uint64_t> lastEvent; // The stream continues after this event.
+    std::optional<uint8_t> priority; // At the endpoint; 0 is the highest.
 };
 
 // Copies method, target, body and headers, except those that concern one connection or are the router's to set.
--- a/src/router/RoutingView.h
+++ b/src/router/RoutingView.h
@@ -13,6 +13,7 @@
 struct RoutingView {
     std::shared_ptr<const RoutingConfiguration> configuration; // Never null in a published view.
     std::shared_ptr<const RouteIndex> routes; // Of configuration.
+    std::shared_ptr<const RequestRanks> ranks; // Of configuration.
     std::unordered_map<EndpointId, EndpointSighting> endpoints;
 
     const EndpointSighting* findEndpoint(const EndpointId&) const;
--- a/test/core/AdmissionTest.cpp
+++ b/test/core/AdmissionTest.cpp
@@ -24,6 +24,34 @@
     return {};
 }
 
+std::vector<CoreDecision> arriveRanked(CoreDriver& driver, const std::string& id, uint8_t priority,
+    uint32_t promptTokens = 100, const std::string& workspace = "school")
+{
+    RequestArrived arrival { RequestId(id), WorkspaceId(workspace), RouteId("assistant"), promptTokens, 200, 0, {},
+        30s };
+    return driver.send(RankedArrival { arrival, priority, 500ms });
+}
+
+// Ranked requests of the least urgent priority until the first one is neither dispatched nor refused.
+void fillRanked(CoreDriver& driver, int& running)
+{
+    while (running < 200 && !arriveRanked(driver, "fill" + std::to_string(running), 5).empty())
+        ++running;
+}
+
+// The order in which waiting requests are dispatched as running ones finish.
+std::vector<std::string> dispatchOrder(CoreDriver& driver, int running)
+{
+    std::vector<std::string> order;
+    for (int i = 0; i < running; ++i) {
+        for (const auto& it : driver.finish("fill" + std::to_string(i))) {
+            if (const auto* dispatch = std::get_if<Dispatch>(&it))
+                order.push_back(dispatch->request.value());
+        }
+    }
+    return order;
+}
+
 Table tableWithLimits(uint32_t requests, uint32_t tokens, uint32_t concurrency)
 {
     auto table = test::sampleTable();
@@ -210,3 +238,126 @@
     REQUIRE(firstOf<Refuse>(decisions));
     CHECK(firstOf<Refuse>(decisions)->code == ResultCode::QueueFull);
 }
+
+TEST_CASE("waiting requests of a ranked model are dispatched by priority, and by arrival within one")
+{
+    CoreDriver driver;
+    driver.adopt(test::sampleTable());
+    int running = 0;
+    fillRanked(driver, running);
+    REQUIRE(running < 200);
+    CHECK(arriveRanked(driver, "patient", 4).empty());
+    CHECK(arriveRanked(driver, "urgent-1", 0).empty());
+    CHECK(arriveRanked(driver, "middle", 2).empty());
+    CHECK(arriveRanked(driver, "urgent-2", 0).empty());
+    auto order = dispatchOrder(driver, running);
+    REQUIRE(order.size() >= 4);
+    order.resize(4);
+    CHECK(order == std::vector<std::string> { "urgent-1", "urgent-2", "middle", "patient" });
+}
+
+TEST_CASE("requests of equal priority wait in the order of requests without any")
+{
+    auto play = [](bool isRanked) {
+        CoreDriver driver;
+        driver.adopt(test::sampleTable());
+        auto arrive = [&](const std::string& id, const std::string& workspace) {
+            return isRanked ? arriveRanked(driver, id, 3, 100, workspace) : driver.arrive(id, workspace);
+        };
+        int running = 0;
+        while (running < 200 && !arrive("fill" + std::to_string(running), "school").empty())
+            ++running;
+        for (int i = 0; i < 6; ++i)
+            arrive("w" + std::to_string(i), i % 2 ? "school" : "mosque");
+        return dispatchOrder(driver, running);
+    };
+    CHECK(play(true) == play(false));
+}
+
+TEST_CASE("a ranked request that would be late gives up its place only if another one waits for it")
+{
+    for (bool isAlone : { true, false }) {
+        CAPTURE(isAlone);
+        CoreDriver driver;
+        driver.adopt(test::sampleTable());
+        int running = 0;
+        // The last one of these waits.
+        fillRanked(driver, running);
+        if (!isAlone)
+            arriveRanked(driver, "other", 5);
+        bool isRefused = false;
+        for (int i = 0; i < 7; ++i) {
+            for (const auto& it : driver.tick())
+                isRefused = isRefused || std::holds_alternative<Refuse>(it);
+        }
+        CHECK(isRefused != isAlone);
+    }
+}
+
+TEST_CASE("short prompts of a ranked model overtake long ones, which keep their share")
+{
+    CoreDriver driver;
+    driver.adopt(test::sampleTable());
+    int running = 0;
+    fillRanked(driver, running);
+    arriveRanked(driver, "long-1", 1, 4000);
+    arriveRanked(driver, "long-2", 1, 4000);
+    for (int i = 0; i < 8; ++i)
+        arriveRanked(driver, "short-" + std::to_string(i), 1);
+    auto order = dispatchOrder(driver, running);
+    REQUIRE(order.size() > 4);
+    CHECK(order.front() == "short-0");
+    auto first = std::find(order.begin(), order.end(), "long-1") - order.begin();
+    auto second = std::find(order.begin(), order.end(), "long-2") - order.begin();
+    CHECK(first > 0);
+    CHECK(first < second);
+}
+
+TEST_CASE("engines are told a long prompt as less urgent than a short one of the same priority")
+{
+    CoreDriver driver;
+    driver.adopt(test::sampleTable());
+    auto priorityOf = [&](const std::string& id, uint8_t priority, uint32_t tokens) {
+        auto decisions = arriveRanked(driver, id, priority, tokens);
+        const auto* dispatch = firstOf<Dispatch>(decisions);
+        REQUIRE(dispatch);
+        // Slots are kept for short prompts.
+        driver.finish(id);
+        return dispatch->priority;
+    };
+    CHECK(priorityOf("r1", 2, 100) == 2);
+    CHECK(priorityOf("r2", 2, 1000) == 3);
+    CHECK(priorityOf("r3", 9, 1000) == 9);
+}
+
+TEST_CASE("a ranked request is refused at once and for that reason while too much waits ahead of it")
+{
+    CoreDriver driver;
+    driver.adopt(test::sampleTable());
+    arriveRanked(driver, "first", 0);
+    arriveRanked(driver, "second", 3);
+    PressureReported reported { { { RouteId("assistant"), { { 0, 500, 8000, 8000 }, { 3, 30000, 60000, 4000 } } } },
+        200ms };
+    for (int i = 0; i < 40; ++i) {
+        driver.send(reported);
+        driver.tick();
+    }
+    int refused = 0;
+    for (int i = 0; i < 20; ++i) {
+        auto decisions = arriveRanked(driver, "r" + std::to_string(i), 3);
+        const auto* refuse = firstOf<Refuse>(decisions);
+        refused += refuse && refuse->code == ResultCode::Overloaded;
+    }
+    CHECK(refused > 10);
+    auto urgent = arriveRanked(driver, "urgent", 0);
+    CHECK((!firstOf<Refuse>(urgent) || firstOf<Refuse>(urgent)->code != ResultCode::Overloaded));
+    auto admission = driver.admission();
+    REQUIRE(admission.size() == 1);
+    CHECK(admission.front().levels.back().isShared);
+    CHECK(admission.front().levels.back().admitted < 0.5);
+    // Old figures decide nothing.
+    driver.advance(3s);
+    for (int i = 0; i < 10; ++i)
+        driver.tick();
+    CHECK_FALSE(driver.admission().front().levels.back().isShared);
+}
--- a/test/core/ResultCodeTest.cpp
+++ b/test/core/ResultCodeTest.cpp
@@ -39,5 +39,5 @@
         CHECK(text.substr(start, text.find('\n', start) - start).find(end) != std::string::npos);
         ++listed;
     }
-    CHECK(listed == 37);
+    CHECK(listed == 38);
 }
--- a/test/core/RoutingConfigurationTest.cpp
+++ b/test/core/RoutingConfigurationTest.cpp
@@ -67,3 +67,43 @@
     for (int i = 0; i < 100; ++i)
         CHECK(chooseService(split, RequestId(std::to_string(i))) == "all");
 }
+
+TEST_CASE("requests to a model whose routes differ in priority rank by workspace and then by route")
+{
+    RoutingConfiguration configuration;
+    configuration.services = { { "model", ModelLayout {} }, { "plain", std::nullopt }, { "even", ModelLayout {} } };
+    auto add = [&](const char* name, const char* service, uint8_t priority) {
+        RouteSettings route;
+        route.route = RouteId(name);
+        route.shares = { { service, 1 } };
+        route.priority = priority;
+        configuration.routes.push_back(route);
+    };
+    add("urgent", "model", 0);
+    add("patient", "model", 2);
+    add("first", "plain", 0);
+    add("second", "plain", 1);
+    add("third", "even", 1);
+    add("fourth", "even", 1);
+    const WorkspaceId none("none");
+    const WorkspaceId high("high");
+    const WorkspaceId low("low");
+    configuration.workspaces = { none, high, low };
+    configuration.workspacePriorities = { { high, 0 }, { low, 1 } };
+    RequestRanks ranks(configuration);
+    const auto& urgent = configuration.routes[0];
+    const auto& patient = configuration.routes[1];
+    CHECK(ranks.models() == 1);
+    CHECK(ranks.find("model", urgent, high) == 0);
+    CHECK(ranks.find("model", patient, high) == 1);
+    CHECK(ranks.find("model", urgent, low) == 2);
+    CHECK(ranks.find("model", patient, low) == 3);
+    CHECK(ranks.find("model", urgent, none) == 0);
+    CHECK(ranks.find("model", patient, none) == 4);
+    // A workspace that this configuration does not hold comes last.
+    auto other = patient;
+    other.priority = 9;
+    CHECK(ranks.find("model", other, low) == RequestRanks::maxRanks - 1);
+    CHECK_FALSE(ranks.find("plain", configuration.routes[2], high));
+    CHECK_FALSE(ranks.find("even", configuration.routes[4], low));
+}
--- a/test/platform/CodecTest.cpp
+++ b/test/platform/CodecTest.cpp
@@ -47,6 +47,8 @@
     CHECK(stream.repeatability == Repeatability::ResumableStream);
     CHECK(stream.shares.size() == 2);
     CHECK(stream.timeout == std::chrono::seconds(20));
+    CHECK(stream.priority == 1);
+    CHECK(configuration->workspacePriorities.at(WorkspaceId("t1")) == 1);
     const auto& action = configuration->routes[1];
     CHECK(action.repeatability == Repeatability::AtMostOnce);
     CHECK(action.isPublic);
--- a/test/router/ExchangeTest.cpp
+++ b/test/router/ExchangeTest.cpp
@@ -332,3 +332,31 @@
         CHECK_FALSE(timeOf(text));
     }
 }
+
+TEST_CASE("engines of a model whose routes differ in priority are told the rank, and callers cannot state one")
+{
+    ScriptedServer server(
+        [](const std::string& request) { return streamHead(request, "s") + chunk(event(1)) + "0\r\n\r\n"; });
+    for (bool isRanked : { false, true }) {
+        CAPTURE(isRanked);
+        RouterFixture router;
+        auto configuration = sampleConfiguration();
+        auto urgent = routeOf("assistant", "/urgent/", Repeatability::ResumableStream);
+        urgent.priority = isRanked ? 0 : configuration.routes.front().priority;
+        configuration.routes.push_back(urgent);
+        router.platform().configuration = std::make_shared<const RoutingConfiguration>(configuration);
+        router.start({ endpointAt("e1", "assistant", server.address()) });
+        auto priorityOf = [&](const std::string& path, const std::string& id) {
+            auto answer = router.send(requestText("POST", path, id, "question", "X-Priority: 0\r\n"));
+            CHECK(statusOf(answer) == 200);
+            return headerOf(server.lastRequest(), "X-Priority");
+        };
+        CHECK(priorityOf("/ask/1", "r1") == (isRanked ? "1" : ""));
+        CHECK(priorityOf("/urgent/1", "r2") == (isRanked ? "0" : ""));
+        auto line = router.logged("\"request-ended\"").back();
+        CHECK(line.find(isRanked ? "\"rank\":0" : "\"rank\":-1") != std::string::npos);
+        CHECK(line.find("\"prompt_tokens\":20") != std::string::npos);
+        auto metrics = router.metrics().prometheusText();
+        CHECK(metrics.find("served_total{priority=\"1\",level=\"in-time\"}") != std::string::npos);
+    }
+}
--- a/test/router/FactRelayTest.cpp
+++ b/test/router/FactRelayTest.cpp
@@ -45,6 +45,7 @@
     facts.endpointsDigest = 0xfedcba9876543210;
     facts.observations = { { EndpointId("i-1@1700000000000"), HostId("host-7"), 120ms } };
     facts.observation = 8;
+    facts.pressure = { { RouteId("assistant"), { { 0, 700, 12000, 11800 }, { 3, 0, 1, 0 } } }, { RouteId("x"), {} } };
     return facts;
 }
 
@@ -56,7 +57,8 @@
     CHECK(decodeFacts(encodeFacts(facts)) == facts);
     CHECK(decodeFacts(encodeFacts(Facts {})) == Facts {});
     FactQuestion question { "host-1/17", 12, 9, 4, true, "host-2/3", { { EndpointId("i-1@1700000000000"), 2 } }, true,
-        HostId("host-2"), true, 5, { EndpointId("i-3@1700000000000") } };
+        HostId("host-2"), true, 5, { EndpointId("i-3@1700000000000") },
+        { { RouteId("assistant"), { { 2, 5, 6, 7 } } } } };
     CHECK(decodeQuestion(encodeQuestion(question), encodeOwnLoad(question)) == question);
     CHECK(decodeQuestion(encodeQuestion({})) == FactQuestion {});
 }
@@ -70,7 +72,11 @@
     }
     auto target = encodeQuestion({});
     for (const char* body : { "{", R"({"asker":"a"})", R"({"asker":"a","load":[["e",-1]]})",
-             R"({"asker":"a","load":[["e"]]})", R"({"asker":7,"load":[]})", R"({"asker":"a","load":[["e",1e9]]})" }) {
+             R"({"asker":"a","load":[["e"]]})", R"({"asker":"a","load":[],"pressure":[["m",[[0,-1,0,0]]]]})",
+             R"({"asker":"a","load":[],"pressure":[["m",[[0,1e300,0,0]]]]})",
+             R"({"asker":"a","load":[],"pressure":[["m",[[256,0,0,0]]]]})",
+             R"({"asker":"a","load":[],"pressure":[["m",[[0,0,0]]]]})", R"({"asker":"a","load":[],"pressure":[["m"]]})",
+             R"({"asker":7,"load":[]})", R"({"asker":"a","load":[["e",1e9]]})" }) {
         CAPTURE(body);
         CHECK(!decodeQuestion(target, body));
     }
@@ -127,6 +133,7 @@
     expected.isWaiting = false;
     expected.observations.clear();
     expected.observation = 0;
+    expected.pressure.clear();
     CHECK(*facts == expected);
 }
 
--- a/test/support/CoreDriver.h
+++ b/test/support/CoreDriver.h
@@ -66,6 +66,7 @@
     void advance(Duration step) { m_now += step; }
     CoreStatus status() const { return m_core.status(); }
     std::vector<EndpointLoad> ownLoad() const { return m_core.ownLoad(); }
+    std::vector<ModelAdmission> admission() const { return m_core.admission(); }
 
 private:
     DecisionCore m_core;
