Take an answer with a status that does not exist for no answer

Cause: the parser takes any three digits. A signed answer with status 000 reached callers, and X-Not-Executed beside it was believed, so that 503 promised that the request had not run. 101 held a request until its deadline.

Change: a status below 200 or above 599, and 101, is no answer in the router, in calls to the platform, engines and other daemons, and in the older half. What may not run twice ends as unknown.

HttpEndpointsTest has the older half.

--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -260,10 +260,16 @@
         return parser;
     }
 
-    // By the number: the library does not know each of them.
+    // By the number: the library does not know each of them. A change of protocol (101) is never asked for.
     bool isInformational(unsigned status)
     {
-        return status / 100 == 1;
+        return status / 100 == 1 && status != 101;
+    }
+
+    // Some servers in trouble write other numbers, as 000, which tell nothing about the request.
+    bool isAnswerStatus(unsigned status)
+    {
+        return status >= 200 && status < 600;
     }
 
     // One call over one connection.
@@ -336,6 +342,8 @@
                 if (ec)
                     return ec;
             }
+            if (!isAnswerStatus(m_parser->get().result_int()))
+                return http::error::bad_status;
             m_answer.status = static_cast<int>(m_parser->get().result_int());
             for (const auto& it : m_parser->get())
                 m_answer.headers.emplace_back(it.name_string(), it.value());
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -197,9 +197,13 @@
         co_await http::async_read_header(connection.stream, connection.buffer, *parser, awaitInto(ec));
         if (ec)
             co_return false;
+        auto status = parser->get().result_int();
+        if (!isAnswerStatus(status) && !isInterimStatus(status)) {
+            note("unknown-status", { { "endpoint", m_head.endpoint.value() }, { "status", status } });
+            co_return false;
+        }
         noteEndpoint(parser->get().base());
-        bool isFinal = http::to_status_class(parser->get().result_int()) != http::status_class::informational;
-        if (isFinal && parser->get()[m_context.settings.headers.requestId] == m_request.wireId)
+        if (isAnswerStatus(status) && parser->get()[m_context.settings.headers.requestId] == m_request.wireId)
             co_return true;
         open.isForeign = true;
         note("foreign-answer", { { "endpoint", m_head.endpoint.value() } });
--- a/src/router/HttpCaller.cpp
+++ b/src/router/HttpCaller.cpp
@@ -2,6 +2,8 @@
 
 #include "router/HttpCaller.h"
 
+#include "router/Headers.h"
+
 namespace jacinthspindle::router {
 
 namespace {
@@ -65,8 +67,10 @@
     co_await http::async_read(*m_stream, buf, parser, awaitInto(ec));
     if (ec)
         co_return fail("read", ec);
-    m_stream->expires_never();
     auto& message = parser.get();
+    if (!isAnswerStatus(message.result_int()))
+        co_return fail("read", make_error_code(http::error::bad_status));
+    m_stream->expires_never();
     if (!message.keep_alive() || buf.size())
         m_stream.reset();
     HttpReply reply { message.result_int(), std::move(message.body()), std::move(message.base()) };
--- a/test/adapters/HttpEndpointsTest.cpp
+++ b/test/adapters/HttpEndpointsTest.cpp
@@ -360,6 +360,19 @@
     CHECK(callAgainst(httpAnswer("500 Error", "x")).status == 500);
 }
 
+// MIXED: workers in trouble wrote answers whose status was 000, which were taken for answers.
+TEST_CASE("a service answer with a status that does not exist is unknown")
+{
+    for (const char* status : { "000 Nothing", "001 Low", "099 Low", "101 Switching Protocols", "600 High", "999 High",
+             "+20 Sign", "-20 Sign", "20 Short", "2000 Long", "20x Letter", "x", "" }) {
+        CAPTURE(status);
+        auto answer = callAgainst(httpAnswer(status, "text"));
+        CHECK(answer.outcome == ServiceOutcome::Unknown);
+    }
+    CHECK(callAgainst(httpAnswer("200 ", "text")).outcome == ServiceOutcome::Answered);
+    CHECK(callAgainst(httpAnswer("599 Odd", "text")).outcome == ServiceOutcome::Answered);
+}
+
 TEST_CASE("only a marked 412 is a refused fencing token")
 {
     CHECK(callAgainst(httpAnswer("412 No", "", "X-Fencing-Refused: true\r\n")).outcome == ServiceOutcome::RefusedFence);
--- a/test/router/AnswerIntegrityTest.cpp
+++ b/test/router/AnswerIntegrityTest.cpp
@@ -296,3 +296,51 @@
     CHECK(answer.find(PausingEngine::event(1)) != std::string::npos);
     CHECK(answer.ends_with("0\r\n\r\n"));
 }
+
+// MIXED: workers in trouble wrote answers whose status was 000, which reached callers as answers.
+TEST_CASE("an answer with a status that does not exist is no answer")
+{
+    const char* statuses[] = { "000 Nothing", "001 Low", "099 Low", "101 Switching Protocols", "600 High", "999 High",
+        "+20 Sign", "-20 Sign", "20 Short", "2000 Long", " 200 Space", "2 0 Space", "20x Letter", "x", "" };
+    for (const std::string status : statuses) {
+        CAPTURE(status);
+        ScriptedServer server([&](const std::string& request) {
+            return ownAnswer(request, status, "text", "X-Signature: s\r\nX-Not-Executed: 1\r\n");
+        });
+        RouterFixture router;
+        router.start(
+            { endpointAt("c1", "catalogue", server.address()), endpointAt("e1", "assistant", server.address()) });
+        // Nobody knows whether an action ran; 503 would promise that it did not.
+        CHECK(statusOf(router.send(requestText("POST", "/loans/7", "r1", "flags"))) == 502);
+        CHECK(server.connections() == 1);
+        CHECK(statusOf(router.send(requestText("GET", "/cards/7", "r2"))) == 502);
+        CHECK(statusOf(router.send(requestText("POST", "/ask/1", "r3", "question"))) == 502);
+    }
+}
+
+TEST_CASE("a request that may run again is repeated after an answer with a status that does not exist")
+{
+    std::atomic<int> n { 0 };
+    auto engine = [&](const std::string& request) {
+        return ++n == 1 ? ownAnswer(request, "000 Nothing", "text") : ownAnswer(request, "200 OK", "card");
+    };
+    ScriptedServer first(engine);
+    ScriptedServer second(engine);
+    RouterFixture router;
+    router.start({ endpointAt("c1", "catalogue", first.address()), endpointAt("c2", "catalogue", second.address()) });
+    auto answer = router.send(requestText("GET", "/cards/7", "r1"));
+    CHECK(statusOf(answer) == 200);
+    CHECK(answer.ends_with("card"));
+    CHECK(n == 2);
+}
+
+TEST_CASE("each status that exists reaches the caller, also without a reason")
+{
+    for (const std::string status : { "200 OK", "200 ", "299 Odd", "404 Not Found", "599 Odd" }) {
+        CAPTURE(status);
+        ScriptedServer server([&](const std::string& request) { return ownAnswer(request, status, "text"); });
+        RouterFixture router;
+        router.start({ endpointAt("c1", "catalogue", server.address()) });
+        CHECK(statusOf(router.send(requestText("POST", "/loans/7", "r1", "flags"))) == std::stoi(status));
+    }
+}
