Take the end of an engine behind the head as evidence against the parts of a prompt

A loss was noted only where the connection of the head broke. A stage that the head waits for, or names in a refusal after it has waited, was none.

Change: both are noted, with the same proof of an end. A refusal sooner than 400 ms is not: the head knew before.

--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -163,6 +163,7 @@
     bool mayResumeStandby() const { return m_standby && mayResume(); }
     // Reads the answer of the attempt, or what is left of it.
     net::awaitable<AttemptResult> receive(OpenAttempt&);
+    void noteLoss(const OpenAttempt&, const AttemptResult&);
     // Keeps the connection of an attempt that has ended, or drops it.
     void settle(OpenAttempt, const AttemptResult&);
     net::awaitable<std::unique_ptr<EndpointConnection>> acquire(const EndpointSighting&);
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -17,6 +17,8 @@
     // A request that must not run twice is sent over a connection that was used just now: an older one may be about to
     // be closed, and then nobody knows whether the request ran.
     constexpr milliseconds freshIdle { 400 };
+    // A head that refuses sooner was short of room, or knew before that a stage is away.
+    constexpr milliseconds shortestStall { 400 };
     // Of an answer that is no stream, what is held until it is whole, so that a failed one can be replaced. Longer
     // answers are passed on as they come.
     constexpr size_t maxHeldBytes = size_t { 64 } << 10;
@@ -123,9 +125,7 @@
 {
     m_connection = nullptr;
     open.isSilent = !m_returning;
-    bool isBroken = result.end == AttemptEnd::Failed && result.kind == FailureKind::StreamBroken;
-    if (isBroken && !open.hasDelivered && !m_request.parts.empty())
-        m_context.noteLoss({ open.head, m_request.parts, open.sentAt, m_context.clock.now() });
+    noteLoss(open, result);
     if (result.end == AttemptEnd::SetAside) {
         // Of two attempts, the one is kept from which the caller has received something.
         if (!m_standby || open.hasDelivered) {
@@ -142,6 +142,22 @@
         m_context.pool.giveBack(std::move(open.connection), idleLimitOf(open.parser->get().base()));
 }
 
+// An engine that ends under the request ends its connection if it is the head. Another one is named by the head, which
+// waits for it, or refuses after it has waited.
+void Exchange::noteLoss(const OpenAttempt& open, const AttemptResult& result)
+{
+    if (open.hasDelivered || m_request.parts.empty())
+        return;
+    auto now = m_context.clock.now();
+    if (result.end == AttemptEnd::Failed && result.kind == FailureKind::StreamBroken)
+        return m_context.noteLoss({ open.head, m_request.parts, open.sentAt, now });
+    bool isStalled = result.kind == FailureKind::Stalled
+        || (result.end == AttemptEnd::NotExecuted && now - open.sentAt >= shortestStall);
+    const auto* stage = isStalled ? m_context.currentView()->findEndpoint(result.atFault) : nullptr;
+    if (stage && stage->endpoint != open.head.endpoint)
+        m_context.noteLoss({ *stage, m_request.parts, open.sentAt, now });
+}
+
 bool Exchange::isInterrupted(EndpointConnection& connection) const
 {
     return m_movedFrom && !m_isCallerGone && connection.stream.socket().is_open();
--- a/test/router/FatalPromptPartTest.cpp
+++ b/test/router/FatalPromptPartTest.cpp
@@ -280,3 +280,40 @@
     CHECK(engines.ends() == before);
     CHECK(statusOf(ask(fresh, "sound", partsOf("good", 9))) == 200);
 }
+
+// BUDGET: an engine that ended behind the head of its chain was no evidence, so that the part ended one after the
+// other.
+TEST_CASE("the end of an engine behind the head is evidence against the parts of a prompt")
+{
+    for (auto wait : { 600ms, 0ms }) {
+        CAPTURE(wait.count());
+        std::string tail;
+        ScriptedServer head([&](const std::string& request) {
+            std::this_thread::sleep_for(wait);
+            return ownAnswer(
+                request, "503 Service Unavailable", "", "X-Not-Executed: 1\r\nX-At-Fault: " + tail + "\r\n");
+        });
+        {
+            sockaddr_in name {};
+            int socket = listenOnLoopback(name);
+            tail = addressOf(name);
+            close(socket);
+        }
+        RouterFixture router;
+        auto first = endpointAt("e1", "assistant", head.address());
+        auto last = endpointAt("e2", "assistant", tail);
+        first.layers = { 0, 4 };
+        last.layers = { 4, 8 };
+        router.start({ first, last });
+        ask(router, "r1", partsOf("bad", 1));
+        // A head that refuses at once knew before that the engine is away, or that it is short of room.
+        bool isEvidence = wait.count() > 0;
+        auto isKnown = [&] { return router.traffic().parts().suspects() > 0; };
+        if (isEvidence)
+            CHECK(RouterFixture::eventually(isKnown));
+        else
+            std::this_thread::sleep_for(500ms);
+        CHECK(isKnown() == isEvidence);
+        CHECK(router.logged("\"engine-ended\"").empty() != isEvidence);
+    }
+}
