Remember for five minutes that an endpoint said itself that it leaves

The mark was dropped once the endpoint was not listed, and an older copy of the list took the endpoint back.

Change: the mark outlives the list.

--- a/src/router/EndpointDirectory.cpp
+++ b/src/router/EndpointDirectory.cpp
@@ -106,9 +106,15 @@
 
 bool EndpointDirectory::replace(std::map<EndpointId, EndpointSighting> next)
 {
-    std::erase_if(m_leaving, [&](const auto& id) { return !next.contains(id); });
-    for (const auto& id : m_leaving)
-        next.at(id).isLeaving = true;
+    // An older copy of the platform's list, from which the platform was restored, may name it again as serving.
+    for (auto& [id, listedAt] : m_leaving) {
+        auto listed = next.find(id);
+        if (listed == next.end())
+            continue;
+        listed->second.isLeaving = true;
+        listedAt = m_updatedAt;
+    }
+    std::erase_if(m_leaving, [&](const auto& it) { return m_updatedAt - it.second > leavingTime; });
     bool hasChanged = false;
     auto beginChange = [&] {
         if (!hasChanged)
@@ -139,7 +145,7 @@
 bool EndpointDirectory::noteLeaving(const EndpointId& id)
 {
     auto it = m_endpoints.find(id);
-    if (it == m_endpoints.end() || !m_leaving.insert(id).second || it->second.isLeaving)
+    if (it == m_endpoints.end() || !m_leaving.emplace(id, m_updatedAt).second || it->second.isLeaving)
         return false;
     it->second.isLeaving = true;
     recordChange(id);
--- a/src/router/EndpointDirectory.h
+++ b/src/router/EndpointDirectory.h
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <functional>
 #include <map>
-#include <set>
 #include <vector>
 
 namespace jacinthspindle::router {
@@ -23,6 +22,8 @@
     // such time, also if the platform has turned this daemon alone away.
     static constexpr Duration shortestOutage = std::chrono::milliseconds(1500);
     // For this long an endpoint that was seen to go is not taken back from another daemon that waits for entries.
+    // An endpoint that said that it leaves does so, whatever lists name it for this long after the last one that did.
+    static constexpr Duration leavingTime = std::chrono::minutes(5);
     static constexpr Duration goneTime = std::chrono::seconds(10);
 
     // The platform answered with all its entries. Returns true when anything but heartbeats has changed.
@@ -93,7 +94,8 @@
     };
 
     std::map<EndpointId, SilentMark> m_silent; // All of them are in m_endpoints.
-    std::set<EndpointId> m_leaving; // Endpoints that said so themselves, while they are listed.
+    // Endpoints that said so themselves, with the time of the last list that named them.
+    std::map<EndpointId, Instant> m_leaving;
     std::map<EndpointId, Instant> m_goneAt; // Endpoints that were no longer listed while no entry was waited for.
     bool m_isAway = false; // The last read failed.
     Instant m_returnedAt {}; // First answer after a failed read.
--- a/test/router/EndpointDirectoryTest.cpp
+++ b/test/router/EndpointDirectoryTest.cpp
@@ -50,6 +50,26 @@
     CHECK_FALSE(directory.find(successor.endpoint)->isLeaving);
 }
 
+// DRAIN: the platform came back from an older copy, which named an endpoint that had left as serving.
+TEST_CASE("an endpoint that said itself that it leaves is not taken back from an older copy of the list")
+{
+    EndpointDirectory directory;
+    directory.update(start, { a, b });
+    directory.noteLeaving(a.endpoint);
+    directory.update(start + 1s, { b });
+    CHECK_FALSE(directory.find(a.endpoint));
+    directory.update(start + 4s, { a, b });
+    CHECK(directory.find(a.endpoint)->isLeaving);
+    directory.update(start + 5s, { b });
+    directory.adopt(start + 6s, { a, b }, std::nullopt);
+    CHECK(directory.find(a.endpoint)->isLeaving);
+    // What is remembered is bounded in time.
+    directory.update(start + 7s, { b });
+    directory.update(start + 7s + EndpointDirectory::leavingTime, { b });
+    directory.update(start + 8s + EndpointDirectory::leavingTime, { a, b });
+    CHECK_FALSE(directory.find(a.endpoint)->isLeaving);
+}
+
 TEST_CASE("a reported pace outlives the lists of the platform, and goes with the endpoint")
 {
     EndpointDirectory directory;
