Order only the start of an engine that the order was planned for

An address was taken for an engine: a report of another engine at it was believed, and an order reached one of another service, which holds less.

Change: the planner and the readers of reports compare the start, and an order names the instance, so that any other one refuses it.

--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -457,7 +457,7 @@
 {
     auto report = co_await m_ports.engines.report(engine.address, headTimeout);
     // Without a report the head's load is what daemons tell; a silent head is found by the requests that wait for it.
-    if (!report)
+    if (!report || !isSameStart(engine, *report))
         co_return;
     if (report->isLeaving)
         noteLeaving(engine.endpoint);
--- a/src/router/HttpCaller.cpp
+++ b/src/router/HttpCaller.cpp
@@ -53,6 +53,8 @@
     request.set(http::field::host, m_address);
     if (!body.empty())
         request.set(http::field::content_type, "application/json");
+    for (const auto& [name, value] : m_headers)
+        request.set(name, value);
     request.body() = std::move(body);
     request.prepare_payload();
     m_stream->expires_after(timeout);
--- a/src/router/HttpCaller.h
+++ b/src/router/HttpCaller.h
@@ -24,6 +24,9 @@
     // maxAnswerBytes: a longer answer counts as none.
     HttpCaller(net::any_io_executor, std::string address, size_t maxAnswerBytes = longestAnswer);
 
+    // Sends this header with each call.
+    void setHeader(std::string name, std::string value) { m_headers.emplace_back(std::move(name), std::move(value)); }
+
     // Nothing when no whole answer came before the timeout; lastReason() then tells why. The call is not repeated,
     // since it may have taken effect; the connection is closed, so that a late answer cannot be taken for another's.
     // maySend: asked right before the request is written, after the time that connecting took; false: it is not sent.
@@ -41,6 +44,7 @@
     net::any_io_executor m_executor;
     std::string m_address;
     size_t m_maxAnswerBytes;
+    std::vector<std::pair<std::string, std::string>> m_headers;
     std::optional<beast::tcp_stream> m_stream;
     bool m_wasSent = false;
     Reason m_lastReason;
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -182,6 +182,8 @@
     };
     if (!report)
         co_return note("no report", failedOrderPause);
+    if (!isSameStart(endpoint, *report))
+        co_return note("another engine has the address", failedOrderPause);
     // An order is in progress, or one was carried out that the list does not show yet.
     if (report->isBusy || report->layers != endpoint.layers) {
         note("has other work", busyPause);
@@ -193,7 +195,7 @@
         co_return note("lease lost", failedOrderPause);
     // The process may be suspended until the order is written.
     auto mayOrder = [this] { return m_lease.isHolder(m_clock.now()); };
-    auto outcome = co_await m_control.place(endpoint.address, layers, report->acceptedOrders, callTimeout, mayOrder);
+    auto outcome = co_await m_control.place(endpoint, layers, report->acceptedOrders, callTimeout, mayOrder);
     auto loading = model.layers ? model.loadTime * layers.count() / model.layers : milliseconds(0);
     if (outcome == OrderOutcome::Accepted)
         note("accepted", loading * 3 + orderSlack);
--- a/src/router/Ports.h
+++ b/src/router/Ports.h
@@ -117,14 +117,18 @@
     std::vector<StalledRequest> stalled;
 };
 
+// False when another endpoint has started at the address: addresses are used again, and the report is of that one.
+bool isSameStart(const EndpointSighting&, const EngineReport&);
+
 class EngineControl {
 public:
     virtual ~EngineControl() = default;
     virtual net::awaitable<std::optional<EngineReport>> report(std::string address, std::chrono::milliseconds timeout)
         = 0;
-    // Orders the engine to hold exactly these layers, if it has accepted expectedOrders orders so far. mayOrder is
-    // asked right before the order is sent; Failed without an order when it says no.
-    virtual net::awaitable<OrderOutcome> place(std::string address, LayerRange layers, uint64_t expectedOrders,
+    // Orders the engine to hold exactly these layers, if it has accepted expectedOrders orders so far. Any other
+    // instance at its address refuses the order. mayOrder is asked right before the order is sent; Failed without an
+    // order when it says no.
+    virtual net::awaitable<OrderOutcome> place(const EndpointSighting&, LayerRange layers, uint64_t expectedOrders,
         std::chrono::milliseconds timeout, std::function<bool()> mayOrder)
         = 0;
 };
--- a/src/router/RoutingView.cpp
+++ b/src/router/RoutingView.cpp
@@ -59,6 +59,11 @@
 
 } // namespace
 
+bool isSameStart(const EndpointSighting& endpoint, const EngineReport& report)
+{
+    return endpoint.endpoint.value().ends_with('@' + report.born);
+}
+
 const EndpointSighting* RoutingView::findEndpoint(const EndpointId& id) const
 {
     auto it = endpoints.find(id);
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -35,16 +35,10 @@
     // Part of the silence after which an endpoint is asked.
     constexpr milliseconds loggedDelay = silenceBeforeInquiry / 2;
 
-    // False when another endpoint has started at the address.
-    bool isSameStart(const EndpointSighting& endpoint, const EngineReport& report)
-    {
-        return endpoint.endpoint.value().ends_with('@' + report.born);
-    }
-
 } // namespace
 
 Traffic::Traffic(net::io_context& io, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
-    const RouterSettings& settings, ControlPort control, EngineControl& engines, const ConfigurationAge& age)
+    const RouterSettings& settings, ControlPort control, EngineControl& engines)
     : m_io(io)
     , m_journal(journal)
     , m_settings(settings)
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -170,8 +170,8 @@
             co_return std::nullopt;
         co_return it->second;
     }
-    router::net::awaitable<OrderOutcome> place(
-        std::string, LayerRange, uint64_t, std::chrono::milliseconds, std::function<bool()>) override
+    router::net::awaitable<OrderOutcome> place(const router::EndpointSighting&, LayerRange, uint64_t,
+        std::chrono::milliseconds, std::function<bool()>) override
     {
         co_return OrderOutcome::Failed;
     }
