Bring the age of a configuration to the traffic thread behind its content

The age was set at once and the view posted, so that requests in between found the older configuration confirmed, and a key that had been taken away worked.

Change: the age is posted behind the view; the shared age is gone.

--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -68,14 +68,13 @@
 } // namespace
 
 Control::Control(net::io_context& io, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
-    const RouterSettings& settings, ControlPorts ports, const PlannerLeaseConfig& lease, ConfigurationAge& age)
+    const RouterSettings& settings, ControlPorts ports, const PlannerLeaseConfig& lease)
     : m_io(io)
     , m_clock(clock)
     , m_journal(journal)
     , m_metrics(metrics)
     , m_settings(settings)
     , m_ports(ports)
-    , m_age(age)
     , m_core(coreConfigOf(settings))
     , m_planner(io, clock, journal, ports.lease, ports.engines, m_directory, lease)
     , m_sharing(io, clock, journal, metrics, settings, ports.hosts, lease.holder,
@@ -247,7 +246,7 @@
     m_confirmedAt = std::max(m_confirmedAt, at);
     // Without a configuration there is nothing whose age counts.
     if (m_configuration)
-        m_age.confirm(m_confirmedAt);
+        m_traffic->confirm(m_confirmedAt);
 }
 
 Facts Control::tell(const FactQuestion& question) const
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -23,7 +23,7 @@
 class Control {
 public:
     Control(net::io_context&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, ControlPorts,
-        const PlannerLeaseConfig&, ConfigurationAge&);
+        const PlannerLeaseConfig&);
 
     // traffic must outlive the event loop.
     void start(Traffic& traffic);
@@ -79,7 +79,6 @@
     daemon::Metrics& m_metrics;
     const RouterSettings& m_settings;
     ControlPorts m_ports;
-    ConfigurationAge& m_age;
     Traffic* m_traffic = nullptr;
     DecisionCore m_core;
     EndpointDirectory m_directory;
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -44,7 +44,6 @@
     , m_settings(settings)
     , m_control(std::move(control))
     , m_engines(engines)
-    , m_age(age)
     , m_pool(io.get_executor(), clock)
     , m_requestMemory(settings.mostHeldBytes)
     , m_answerMemory(settings.mostHeldBytes)
@@ -114,6 +113,11 @@
     net::post(m_io, [this, view = std::move(view)] { m_view = view; });
 }
 
+void Traffic::confirm(Instant at)
+{
+    net::post(m_io, [this, at] { m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, at) : at; });
+}
+
 void Traffic::deliver(std::vector<CoreDecision> decisions)
 {
     net::post(m_io, [this, decisions = std::move(decisions)] {
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -7,7 +7,6 @@
 #include "router/RoutingView.h"
 #include "router/SilentEngines.h"
 
-#include <atomic>
 #include <functional>
 #include <set>
 
@@ -21,32 +20,20 @@
     std::function<void()> postPartNews; // This daemon knows more about parts of prompts; see PromptParts.
 };
 
-// Age of the configuration, which the control thread writes and the traffic thread reads.
-class ConfigurationAge {
-public:
-    void confirm(Instant at) { m_confirmedAt.store(at.time_since_epoch().count()); }
-    // Time since the platform last vouched for the configuration; Duration::max() before the first time.
-    Duration at(Instant now) const
-    {
-        auto confirmedAt = m_confirmedAt.load();
-        return confirmedAt ? now - Instant(Duration(confirmedAt)) : Duration::max();
-    }
-
-private:
-    std::atomic<int64_t> m_confirmedAt { 0 };
-};
-
 // Except where stated otherwise, functions are called on the thread that runs io().
 class Traffic {
 public:
-    Traffic(net::io_context&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, ControlPort,
-        EngineControl&, const ConfigurationAge&);
+    Traffic(
+        net::io_context&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, ControlPort, EngineControl&);
 
     // Opens the addresses; nothing is served before. Returns why one cannot be opened.
     std::optional<Reason> open();
 
     // Thread-safe.
     void publish(std::shared_ptr<const RoutingView>);
+    // The platform vouched at this moment for the configuration of the view that was published last. Takes the same way
+    // as the view, so that no request finds an older configuration confirmed.
+    void confirm(Instant at);
     void deliver(std::vector<CoreDecision>);
     // Stops taking new connections after the balancer has noticed, and calls onIdle once nothing is in progress or the
     // grace is over.
@@ -58,7 +45,11 @@
     bool isDraining() const { return m_drainedAt.has_value(); }
     // False when the process may end before a request with this deadline that arrives now.
     bool canOutlast(Instant deadline) const;
-    Duration configurationAge() const { return m_age.at(m_context.clock.now()); }
+    // Time since the platform last vouched for the configuration; Duration::max() before the first time.
+    Duration configurationAge() const
+    {
+        return m_confirmedAt ? m_context.clock.now() - *m_confirmedAt : Duration::max();
+    }
     // Registers a request under an identifier that no other one in progress has.
     RequestId uniqueId(const std::string& wireId) const;
     void enter(const std::shared_ptr<Exchange>&);
@@ -98,7 +89,6 @@
     const RouterSettings& m_settings;
     ControlPort m_control;
     EngineControl& m_engines;
-    const ConfigurationAge& m_age;
     EndpointPool m_pool;
     PromptParts m_parts;
     MemoryBudget m_requestMemory;
@@ -106,6 +96,7 @@
     ExchangeContext m_context;
     tcp::acceptor m_acceptor;
     std::shared_ptr<const RoutingView> m_view; // Null before the first configuration.
+    std::optional<Instant> m_confirmedAt; // When the platform last vouched for the configuration of m_view.
     std::unordered_map<RequestId, std::shared_ptr<Exchange>> m_exchanges;
     std::set<std::shared_ptr<ClientSession>> m_sessions;
     std::unordered_map<std::string, Instant> m_inquiries; // By address of the head: when it was last asked.
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -108,13 +108,13 @@
         , m_trafficEngines(m_trafficIo.get_executor())
         , m_control(m_controlIo, clock, journal, m_metrics, settings.router,
               { m_configurations, m_endpoints, m_hosts, m_lease, m_planningEngines },
-              leaseConfigOf(settings.router, clock), m_age)
+              leaseConfigOf(settings.router, clock))
         , m_traffic(m_trafficIo, clock, journal, m_metrics, settings.router,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
                   [this](const EndpointId& id) { m_control.reportSilent(id); },
                   [this](router::EndpointNotice notice) { m_control.postNotice(std::move(notice)); },
                   [this] { m_control.postPartNews(); } },
-              m_trafficEngines, m_age)
+              m_trafficEngines)
         , m_ready(m_trafficIo, router::immediately([this] {
             return router::TextAnswer { m_traffic.isReady() ? 200U : 503U, {} };
         }))
@@ -175,7 +175,6 @@
     const platform::PlatformSettings& m_settings;
     router::Journal& m_journal;
     daemon::Metrics m_metrics;
-    router::ConfigurationAge m_age;
     router::net::io_context m_controlIo { 1 };
     router::net::io_context m_trafficIo { 1 };
     platform::StoreEra m_era;
--- a/test/router/ClientSessionTest.cpp
+++ b/test/router/ClientSessionTest.cpp
@@ -164,3 +164,35 @@
     CHECK(RouterFixture::eventually([&] { return isIdle.load(); }));
     CHECK(router.send(requestText("GET", "/cards/1", "r2")).empty());
 }
+
+// CONFIG (strictRevoke): after an outage of the platform, a key that had been taken away was checked by the old
+// configuration, which had just been confirmed by the reading of the new one.
+TEST_CASE("no request finds an older configuration confirmed at the time of a newer one")
+{
+    ScriptedServer server([](const std::string& request) { return ownAnswer(request, "200 OK", "card"); });
+    RouterFixture router;
+    router.start({ endpointAt("c1", "catalogue", server.address()) });
+    auto setPlatform = [&](bool isUp, uint64_t version) {
+        auto configuration = sampleConfiguration();
+        configuration.version = version;
+        configuration.workspaceByKey.clear();
+        std::lock_guard lock(router.platform().mutex);
+        router.platform().isUp = isUp;
+        if (isUp)
+            router.platform().configuration = std::make_shared<const RoutingConfiguration>(configuration);
+    };
+    setPlatform(false, 0);
+    constexpr auto outage = 1500ms;
+    std::this_thread::sleep_for(outage);
+    std::promise<std::pair<uint64_t, Duration>> seen;
+    router.holdUpTraffic(800ms);
+    router.runOnTraffic([&] {
+        seen.set_value({ router.traffic().view()->configuration->version, router.traffic().configurationAge() });
+    });
+    setPlatform(true, 4);
+    auto [version, age] = seen.get_future().get();
+    REQUIRE(version == 3);
+    CHECK(age >= outage);
+    auto isAdopted = [&] { return statusOf(router.send(requestText("GET", "/cards/7", "r1"))) == 401; };
+    CHECK(RouterFixture::eventually(isAdopted));
+}
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -264,13 +264,13 @@
         , m_engines(m_state)
         , m_settings(settings(host, linkMbps, mostHeldBytes))
         , m_control(m_controlIo, m_clock, m_journal, m_metrics, m_settings,
-              { m_configurations, m_endpoints, m_hosts, m_lease, m_engines }, leaseOf(host), m_age)
+              { m_configurations, m_endpoints, m_hosts, m_lease, m_engines }, leaseOf(host))
         , m_traffic(m_trafficIo, m_clock, m_journal, m_metrics, m_settings,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
                   [this](const EndpointId& id) { m_control.reportSilent(id); },
                   [this](router::EndpointNotice notice) { m_control.postNotice(std::move(notice)); },
                   [this] { m_control.postPartNews(); } },
-              m_engines, m_age)
+              m_engines)
         , m_peers(m_controlIo, [this](router::TextRequest request) { return m_control.answerPeer(std::move(request)); })
     {
         m_state.configuration = std::make_shared<const RoutingConfiguration>(sampleConfiguration());
@@ -342,6 +342,9 @@
         return lines;
     }
 
+    // Runs on the traffic thread, behind what it has been given so far.
+    void runOnTraffic(std::function<void()> task) { router::net::post(m_trafficIo, std::move(task)); }
+
     // Holds the traffic thread up, as a machine does that gives the process no processor time.
     void holdUpTraffic(std::chrono::milliseconds duration)
     {
@@ -398,7 +401,6 @@
     UnavailableLease m_lease;
     MemoryEngines m_engines;
     router::RouterSettings m_settings;
-    router::ConfigurationAge m_age;
     router::Control m_control;
     router::Traffic m_traffic;
     router::TextServer m_peers;
