Capture no structured binding in RequestRanks

Cause: clang 14, by which the linter and the fuzz targets are built, refuses a lambda that captures one.

Change: the entry of the map is named in place of its parts.

--- a/src/core/routing/RoutingConfiguration.cpp
+++ b/src/core/routing/RoutingConfiguration.cpp
@@ -30,8 +30,9 @@
         for (const auto& share : route.shares)
             routes[share.service].push_back(&route);
     }
-    for (const auto& [name, ofService] : routes) {
-        const auto* service = configuration.findService(name);
+    for (const auto& entry : routes) {
+        const auto& ofService = entry.second;
+        const auto* service = configuration.findService(entry.first);
         auto differs = [&](const RouteSettings* it) { return it->priority != ofService.front()->priority; };
         if (!service || !service->model || std::none_of(ofService.begin(), ofService.end(), differs))
             continue;
@@ -45,7 +46,7 @@
             it.second = next;
             next = std::min<uint8_t>(next + 1, maxRanks - 1);
         }
-        m_ranks.emplace(name, std::move(ranks));
+        m_ranks.emplace(entry.first, std::move(ranks));
     }
 }
 
