--- a/test/core/PressureGateTest.cpp
+++ b/test/core/PressureGateTest.cpp
@@ -274,6 +274,31 @@
     }
 }
 
+// The stated target where it is not reached yet; see KNOWN-RED.txt.
+TEST_CASE("useful work does not fall from the first second on as all demand grows")
+{
+    for (double times : { 1.5, 2.0, 3.0, 5.0 }) {
+        CAPTURE(times);
+        DataCentre dataCentre(ReadingOrder::ByPriority);
+        dataCentre.play(usualRates(0.8), 5s);
+        auto served = dataCentre.play(usualRates(times), 10s);
+        CHECK(served.allInTime() >= usefulShare * carried * 10);
+    }
+}
+
+TEST_CASE("useful work and urgent requests hold at engines that read in the order of arrival")
+{
+    for (double times : { 1.5, 2.0, 3.0, 5.0 }) {
+        CAPTURE(times);
+        DataCentre dataCentre(ReadingOrder::ByArrival);
+        dataCentre.play(usualRates(0.8), 5s);
+        dataCentre.play(floodOfTheLeastUrgent(times), reactionTime);
+        auto served = dataCentre.play(floodOfTheLeastUrgent(times), 10s);
+        CHECK(served.allInTime() >= usefulShare * carried * 10);
+        CHECK(served.share(0) >= urgentShare);
+    }
+}
+
 TEST_CASE("a lasting flood of urgent requests leaves each other priority a floor")
 {
     DataCentre dataCentre(ReadingOrder::ByPriority);
@@ -335,7 +360,7 @@
         auto usual = dataCentre.play(usualRates(0.7), 10s);
         CHECK(usual.refused[0] + usual.refused[1] + usual.refused[2] < 0.05 * carried * 10);
         auto served = dataCentre.play(floodOfTheLeastUrgent(2), 10s);
-        CHECK(served.share(0) >= 0.9);
+        CHECK(served.share(0) >= urgentShare);
         CHECK(served.refused[2] > 0);
     }
     DataCentre dataCentre(ReadingOrder::ByPriority);
