Name the rank of pressure-changed as the other log lines do

Cause: the field was called priority, which in refused and request-ended is the route's, while OPERATIONS.md tells operators to look for the rank.

--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -518,7 +518,7 @@
         apply(declared);
 }
 
-// Logs when a priority begins or ends to be refused, and when its last requests but those of the floor are.
+// Logs when a rank begins or ends to be refused, and when its last requests but those of the floor are.
 void Control::noteAdmission()
 {
     for (const auto& model : m_core.admission()) {
@@ -529,7 +529,7 @@
                 continue;
             logged = level;
             m_journal.write(LineKind::Info, "pressure-changed",
-                { { "service", model.model.value() }, { "priority", it.priority },
+                { { "service", model.model.value() }, { "rank", it.priority },
                     { "admitted_percent", static_cast<int>(it.admitted * 100) }, { "wait_ms", millisecondsOf(it.wait) },
                     { "overload", it.overload }, { "of_all_daemons", it.isShared } });
         }
