Keep one copy of the checks of a status, and make the sums of the pressure once

Cause: both halves had their own checks of a status; the gate added up the same figures twice at each update, and a tick derived the time since the last one twice.

Change: src/adapters/HttpStatus.h serves both halves; the gate makes its sums once; behaviour is the same.

--- a/include/spindlecore/internal/PressureGate.h
+++ b/include/spindlecore/internal/PressureGate.h
@@ -63,8 +63,9 @@
         uint32_t pressed = 0; // Consecutive updates that found too much waiting; limited until all can be admitted.
     };
     void updateOwn(Class&, double seconds, double unread);
-    void learnUnloadedWait(const std::vector<PriorityLoad>&, double seconds);
-    void decide(const std::vector<PriorityLoad>&);
+    // total: sums over all priorities.
+    void learnUnloadedWait(const PriorityLoad& total, double seconds);
+    void decide(const std::vector<PriorityLoad>&, const PriorityLoad& total);
 
     std::map<uint8_t, Class> m_classes; // By priority.
     std::vector<PriorityLoad> m_shared;
--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -2,6 +2,8 @@
 
 #include "HttpExchange.h"
 
+#include "HttpStatus.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -260,18 +262,6 @@
         return parser;
     }
 
-    // By the number: the library does not know each of them. A change of protocol (101) is never asked for.
-    bool isInformational(unsigned status)
-    {
-        return status / 100 == 1 && status != 101;
-    }
-
-    // Some servers in trouble write other numbers, as 000, which tell nothing about the request.
-    bool isAnswerStatus(unsigned status)
-    {
-        return status >= 200 && status < 600;
-    }
-
     // One call over one connection.
     class Exchange {
     public:
@@ -336,7 +326,7 @@
         {
             constexpr int maxInterim = 3;
             ErrorCode ec;
-            for (int n = 0; !m_parser || isInformational(m_parser->get().result_int()); ++n) {
+            for (int n = 0; !m_parser || isInterimStatus(m_parser->get().result_int()); ++n) {
                 m_parser = makeParser();
                 ec = n > maxInterim ? ErrorCode(http::error::bad_status) : m_connection.readHeader(*m_parser);
                 if (ec)
--- a/src/core/CoreState.cpp
+++ b/src/core/CoreState.cpp
@@ -457,8 +457,8 @@
 
 void CoreState::apply(Instant now, const Tick&, Decisions& decisions)
 {
-    double seconds = m_lastTick == Instant() ? 0 : secondsOf(now - m_lastTick);
     auto sinceLast = m_lastTick == Instant() ? Duration::zero() : now - m_lastTick;
+    double seconds = secondsOf(sinceLast);
     m_lastTick = now;
     updatePressure(now, sinceLast);
     bool shouldRedraw = now - m_lastRedraw >= redrawInterval;
--- a/src/core/admission/PressureGate.cpp
+++ b/src/core/admission/PressureGate.cpp
@@ -105,40 +105,34 @@
     }
     m_isShared = m_sharedAt != Instant() && now - m_sharedAt <= maxAge;
     const auto& loads = m_isShared ? m_shared : ownLoad();
-    learnUnloadedWait(loads, seconds);
-    decide(loads);
+    PriorityLoad total;
+    for (const auto& it : loads) {
+        total.unreadTokens += it.unreadTokens;
+        total.demand += it.demand;
+        total.begun += it.begun;
+    }
+    learnUnloadedWait(total, seconds);
+    decide(loads, total);
 }
 
 // The least wait of late is that of prompts that found few others before them.
-void PressureGate::learnUnloadedWait(const std::vector<PriorityLoad>& loads, double seconds)
+void PressureGate::learnUnloadedWait(const PriorityLoad& total, double seconds)
 {
-    double begun = 0;
-    double unread = 0;
-    for (const auto& it : loads) {
-        begun += it.begun;
-        unread += it.unreadTokens;
-    }
-    m_isKnown = begun >= leastBegun && m_knownFor >= warmUp;
-    if (begun < leastBegun)
+    m_isKnown = total.begun >= leastBegun && m_knownFor >= warmUp;
+    if (total.begun < leastBegun)
         return;
     m_knownFor += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-    double wait = unread / begun;
+    double wait = total.unreadTokens / total.begun;
     double risen = m_unloadedWait * (1 + unloadedRise * seconds);
     m_unloadedWait = m_unloadedWait > 0 ? std::min(risen, wait) : wait;
 }
 
-void PressureGate::decide(const std::vector<PriorityLoad>& loads)
+void PressureGate::decide(const std::vector<PriorityLoad>& loads, const PriorityLoad& total)
 {
-    double begun = 0;
-    double demand = 0;
-    for (const auto& it : loads) {
-        begun += it.begun;
-        demand += it.demand;
-    }
-    bool isKnown = m_isKnown;
-    m_overload = isKnown ? demand / begun : 0;
-    double raised = demand > 0 ? std::min(1.0, floorRatio * begun / demand) : 1;
-    double below = demand; // Demand of the priorities that follow, which have the floor.
+    double begun = total.begun;
+    m_overload = m_isKnown ? total.demand / begun : 0;
+    double raised = total.demand > 0 ? std::min(1.0, floorRatio * begun / total.demand) : 1;
+    double below = total.demand; // Demand of the priorities that follow, which have the floor.
     double ahead = 0; // Prompt tokens that wait, of this or a higher priority.
     double moreUrgent = 0; // Prompt tokens per second that higher priorities ask for.
     double taken = 0; // Prompt tokens per second that higher priorities are admitted with.
@@ -161,7 +155,7 @@
         double unloaded = std::min(m_unloadedWait, secondsOf(target) / 2);
         double allowedWait = unloaded + allowedShare * (secondsOf(target) - unloaded);
         double releasedWait = unloaded + releasedShare * (secondsOf(target) - unloaded);
-        it.wait = isKnown ? ahead / begun : 0;
+        it.wait = m_isKnown ? ahead / begun : 0;
         // What the engines read, and besides as much as brings the waiting prompts to what may wait.
         double admissible = begun + (allowedWait * begun - ahead) / balanceSeconds - raised * below - taken;
         it.raised = load.priority == loads.front().priority ? 0 : raised;
@@ -169,7 +163,7 @@
         double share = load.demand > 0 ? admissible / load.demand : 1;
         double wanted = it.raised < 1 ? std::clamp((share - it.raised) / (1 - it.raised), 0.0, 1.0) : 1;
         bool isOver = it.wait <= releasedWait && m_overload < releasedOverload;
-        bool isPressed = isKnown && wanted < 1 && !isOver;
+        bool isPressed = m_isKnown && wanted < 1 && !isOver;
         it.pressed = isPressed && (it.wait > allowedWait || it.pressed >= pressedUpdates) ? it.pressed + 1 : 0;
         if (it.pressed < pressedUpdates)
             wanted = 1;
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -2,6 +2,8 @@
 
 #include "router/Exchange.h"
 
+#include "adapters/HttpStatus.h"
+
 #include <limits>
 
 namespace jacinthspindle::router {
@@ -214,12 +216,12 @@
         if (ec)
             co_return false;
         auto status = parser->get().result_int();
-        if (!isAnswerStatus(status) && !isInterimStatus(status)) {
+        if (!internal::isAnswerStatus(status) && !internal::isInterimStatus(status)) {
             note("unknown-status", { { "endpoint", m_head.endpoint.value() }, { "status", status } });
             co_return false;
         }
         noteEndpoint(parser->get().base());
-        if (isAnswerStatus(status) && parser->get()[m_context.settings.headers.requestId] == m_request.wireId)
+        if (internal::isAnswerStatus(status) && parser->get()[m_context.settings.headers.requestId] == m_request.wireId)
             co_return true;
         open.isForeign = true;
         note("foreign-answer", { { "endpoint", m_head.endpoint.value() } });
--- a/src/router/Headers.h
+++ b/src/router/Headers.h
@@ -27,19 +27,6 @@
 // that is not such a number, and without the header.
 std::optional<Duration> retryAfterOf(const http::response_header<>&);
 
-// Whether the number is the status of a whole answer. Some endpoints in trouble write others, as 000, which tell
-// nothing about the request; a change of protocol (101) is never asked for.
-inline bool isAnswerStatus(unsigned status)
-{
-    return status >= 200 && status < 600;
-}
-
-// Whether an answer follows the one with this status.
-inline bool isInterimStatus(unsigned status)
-{
-    return status >= 100 && status < 200 && status != 101;
-}
-
 inline bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
--- a/src/router/HttpCaller.cpp
+++ b/src/router/HttpCaller.cpp
@@ -2,7 +2,7 @@
 
 #include "router/HttpCaller.h"
 
-#include "router/Headers.h"
+#include "adapters/HttpStatus.h"
 
 namespace jacinthspindle::router {
 
@@ -70,7 +70,7 @@
     if (ec)
         co_return fail("read", ec);
     auto& message = parser.get();
-    if (!isAnswerStatus(message.result_int()))
+    if (!internal::isAnswerStatus(message.result_int()))
         co_return fail("read", make_error_code(http::error::bad_status));
     m_stream->expires_never();
     if (!message.keep_alive() || buf.size())
