--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build-review-2
-for it in review/{6,7,8,9,10}/case.cpp; do
+for it in review/{6,7,8,9,10}/scenario.cpp; do
     [ -f "$it" ] || continue
     number=$(basename "$(dirname "$it")")
     g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -Ireview/standins-2 "$it" review/standins-2/World.cpp \
--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -221,6 +221,19 @@
     return true;
 }
 
+std::string Wire::peekLine(int64_t timeoutMs)
+{
+    const int64_t until = nowMs() + timeoutMs;
+    while (m_buffer.find('\n') == std::string::npos) {
+        if (!fill(until))
+            return {};
+    }
+    auto line = m_buffer.substr(0, m_buffer.find('\n'));
+    if (!line.empty() && line.back() == '\r')
+        line.pop_back();
+    return line;
+}
+
 bool Wire::readBytes(size_t n, std::string& out, int64_t until)
 {
     while (m_buffer.size() < n) {
@@ -555,6 +568,9 @@
     pauseMs(work.empty() ? m_options.workMs : std::stoll(work));
     leaving = m_isLeaving ? "Server-Leaving: 1\r\n" : "";
     auto headers = leaving + "X-Attempt-Id: " + id + "\r\nX-Response-Signature: " + m_options.id + '-' + id + "\r\n";
+    // An answer to HEAD has no body.
+    if (request.method == "HEAD")
+        return answerText(200, headers, {});
     if (m_options.isEngine)
         return answerText(200, headers + "Content-Type: text/event-stream\r\n", "id: 1\ndata: done " + id + "\n\n");
     return answerText(200, headers, "done " + id + '\n');
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -65,6 +65,8 @@
     bool send(const std::string& bytes);
     // Reads until the deadline; false when the connection ends or the deadline passes first.
     bool readRequest(Request&);
+    // The first line of what comes next, which stays unread; empty when the connection ends before it.
+    std::string peekLine(int64_t timeoutMs);
     Answer readAnswer(int64_t timeoutMs, bool isHead = false);
 
 private:
