End the daemons of a case with its process

Cause: a case that is ended from outside would have left its daemons running, and the record of review/6 did not have the queries. Change: a daemon ends with the process that started it, and queries are recorded.

--- a/review/6/scenario.cpp
+++ b/review/6/scenario.cpp
@@ -73,7 +73,10 @@
         auto id = "query-" + std::to_string(client) + '-' + std::to_string(n);
         wire->send(requestText("POST", "/query/ask", id, "key-school", "how many flags", 20000,
             "X-Model: m\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: aa:40,bb" + std::to_string(client) + ":60\r\n"));
-        if (!wire->readAnswer(3000).isWhole)
+        auto answer = wire->readAnswer(3000);
+        record("client sent " + id + ": "
+            + (answer.isWhole ? "answer " + std::to_string(answer.status) : "connection ended without an answer"));
+        if (!answer.isWhole)
             wire.reset();
         pauseMs(20);
     }
--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -15,6 +15,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -650,6 +651,8 @@
     m_process = ::fork();
     if (m_process)
         return;
+    // It ends with the process of the case, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(out, 1);
     ::dup2(out, 2);
