--- a/review/standins-2/Configuration.h
+++ b/review/standins-2/Configuration.h
@@ -6,17 +6,22 @@
 
 namespace review {
 
-// version: of the configuration. hasPublicDesk: the routes to the desk need no key.
-inline std::string configurationText(int version, bool hasPublicDesk = false)
+// An added route to the desk, with the prefix "/open/".
+enum class AddedRoute { None, WithKey, Public };
+
+inline std::string configurationText(int version, AddedRoute added = AddedRoute::None)
 {
-    auto publicText = std::string(hasPublicDesk ? "true" : "false");
-    return "{\"version\":" + std::to_string(version)
-        + R"(,"routes":[{"name":"r-action","host":"desk.example","prefix":"/action/","routeKind":"non_idempotent",)"
-          R"("timeoutMs":4000,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":1,"public":)"
-        + publicText
-        + R"(},{"name":"r-read","host":"desk.example","prefix":"/read/","routeKind":"idempotent","timeoutMs":4000,)"
-          R"("targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":2,"public":)"
-        + publicText
+    std::string addedText;
+    if (added != AddedRoute::None) {
+        addedText = R"({"name":"r-open","host":"desk.example","prefix":"/open/","routeKind":"non_idempotent",)"
+                    R"("timeoutMs":4000,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":1,"public":)";
+        addedText += added == AddedRoute::Public ? "true}," : "false},";
+    }
+    return "{\"version\":" + std::to_string(version) + ",\"routes\":[" + addedText
+        + R"({"name":"r-action","host":"desk.example","prefix":"/action/","routeKind":"non_idempotent",)"
+          R"("timeoutMs":4000,"targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":1,"public":false},)"
+          R"({"name":"r-read","host":"desk.example","prefix":"/read/","routeKind":"idempotent","timeoutMs":4000,)"
+          R"("targetLatencyMs":150,"priority":2,"service":"desk","maxAttempts":2,"public":false)"
         + R"(},{"name":"r-query","host":"desk.example","prefix":"/query/","routeKind":"stream","timeoutMs":20000,)"
           R"("targetLatencyMs":500,"priority":1,"service":"assistant","maxAttempts":2,"public":false,"sticky":true,)"
           R"("resumable":true,"gapAimMs":200}],"services":[{"name":"desk","healthPath":"/healthz",)"
--- a/review/standins-2/World.h
+++ b/review/standins-2/World.h
@@ -204,6 +204,8 @@
     bool isRunning();
     // What the process ended with, as waitpid() told.
     int status() const { return m_status; }
+    // Asks it once.
+    bool isReady() const;
     bool awaitReady(int64_t timeoutMs);
     const std::string& front() const { return m_front; }
 
