--- a/review/9/scenario.cpp
+++ b/review/9/scenario.cpp
@@ -1,5 +1,5 @@
-// A key is taken away from a client that checks with HEAD and reads with GET in turn on one connection. Judged is
-// MIXED: what the client reads where an answer is due must be an answer.
+// The operator adds a public route, and clients use it with the keys that they have. Judged is UNASKED: the worker must
+// be told the tenant that holds the client's key.
 
 #include "Configuration.h"
 #include "World.h"
@@ -10,11 +10,18 @@
 
 namespace {
 
+constexpr int64_t configApplyMs = 2000;
+
+struct Sent {
+    std::string id;
+    int64_t atMs = 0;
+};
+
 int run(const std::string& folder)
 {
     auto& store = *new Store;
     store.put("op", "config", configurationText(7));
-    new Worker(store, { "i-desk-1", "desk", 6, 30 });
+    auto& worker = *new Worker(store, { "i-desk-1", "desk", 6, 30 });
     auto& daemon = *new Daemon(store, folder, "d1", "127.0.0.1");
     daemon.start();
     if (!daemon.awaitReady(15000)) {
@@ -22,49 +29,45 @@
         return 2;
     }
     pauseMs(500);
+    std::vector<Sent> sent;
     size_t served = 0;
-    size_t wrong = 0;
-    int64_t changedAt = 0;
-    std::unique_ptr<Wire> wire;
-    for (int n = 1; n <= 60; ++n) {
-        if (n == 20) {
-            auto text = configurationText(8);
-            if (hasTrouble())
-                text.replace(text.find("\"apiKeys\":[\"key-school\"]"), 24, "\"apiKeys\":[]");
-            store.put("op", "config", text);
-            changedAt = nowMs();
-            record(std::string("configuration 8 is acknowledged; the key ") + (hasTrouble() ? "is gone" : "stays"));
-        }
+    auto wire = Wire::connect(daemon.front());
+    auto book = [&](const std::string& path) {
         if (!wire)
             wire = Wire::connect(daemon.front());
         if (!wire)
-            return 2;
-        for (const char* method : { "HEAD", "GET" }) {
-            auto id = std::string(method) + '-' + std::to_string(n);
-            wire->send(requestText(method, "/read/card", id, "key-school", {}, 1000));
-            auto first = wire->peekLine(2500);
-            if (!first.empty() && !first.starts_with("HTTP/1.1 ")) {
-                ++wrong;
-                record("MIXED: where the answer to " + id + " is due, the client reads '" + first + "'");
-                wire.reset();
-                break;
-            }
-            auto answer = wire->readAnswer(2500, std::string(method) == "HEAD");
-            served += answer.status == 200;
-            record("client sent " + id + ": answer " + std::to_string(answer.status)
-                + (answer.headers.contains("content-length") ? ", Content-Length " + answer.headers["content-length"]
-                                                             : ""));
-            if (!answer.isWhole || answer.headers["connection"] == "close") {
-                wire.reset();
-                break;
-            }
-        }
-        pauseMs(100);
+            return;
+        auto id = "action-" + std::to_string(sent.size() + 1);
+        sent.push_back({ id, nowMs() });
+        wire->send(requestText("POST", path, id, "key-school", "flags", 1000));
+        auto answer = wire->readAnswer(2500);
+        served += answer.status == 200;
+        record("client sent " + id + " to " + path + " with the key of tenant school: answer "
+            + std::to_string(answer.status));
+        if (!answer.isWhole)
+            wire.reset();
+        pauseMs(200);
+    };
+    for (int n = 0; n < 10; ++n)
+        book("/action/book");
+    store.put("op", "config", configurationText(8, hasTrouble() ? AddedRoute::Public : AddedRoute::WithKey));
+    auto changedAt = nowMs();
+    record(std::string("configuration 8 is acknowledged; it adds the route /open/, which ")
+        + (hasTrouble() ? "is public" : "needs a key"));
+    while (nowMs() < changedAt + configApplyMs + 3000)
+        book("/open/book");
+    size_t wrong = 0;
+    for (const auto& it : worker.runs()) {
+        auto tenant = it.request.header("X-Tenant");
+        if (tenant == "school")
+            continue;
+        ++wrong;
+        record("UNASKED: worker i-desk-1 ran " + it.id + ", sent with the key of tenant school, for tenant '" + tenant
+            + "'");
     }
     record(std::to_string(served) + " requests answered with 200, " + std::to_string(wrong)
-        + " times the client read what is no answer; " + std::to_string(nowMs() - changedAt)
-        + " ms since the configuration");
-    if (served < 30)
+        + " of them run for another tenant than that of the key");
+    if (served < 20)
         return 2;
     return wrong ? 1 : 0;
 }
