Let an exception of one task end that task alone

Any exception of one connection did: what a parser throws, such as for a caller's header field of over 64 KiB where the configuration permits it ("field value too large"), left io_context::run() and ended the process. What a coroutine itself throws was dropped in silence by net::detached, so that a loop that reads the platform or accepts callers stopped for good.

Cause: tasks were started with net::detached, and nothing watched how they ended.

Change: EventLoop owns the io_context, starts each task by name, goes on after an exception, logs and counts the failed task, and calls what puts shared state right. Lasting tasks begin anew; a request in progress is answered with 502, or 503 if it was not sent. HttpCaller keeps no connection during a call, and a configuration is not confirmed to the traffic thread before that thread has it. An exception inside the decision core ends the process as before.

--- a/src/daemon/Metrics.cpp
+++ b/src/daemon/Metrics.cpp
@@ -45,6 +45,7 @@
         { "platform_failures_total", "Failed requests to the platform" },
         { "answers_cut_total", "Begun answers that the daemon ended before their endpoint did" },
         { "requests_withheld_total", "Requests kept from the engines for a part of their prompts" },
+        { "tasks_failed_total", "Tasks of an event loop that an exception ended" },
     } };
 
     constexpr std::array<NameText, distributionCount> distributionTexts { {
--- a/src/daemon/Metrics.h
+++ b/src/daemon/Metrics.h
@@ -43,8 +43,9 @@
     PlatformFailures,
     AnswersCut, // Begun answers that this daemon ended while their endpoint had neither ended nor broken them off.
     RequestsWithheld, // Requests kept from the engines for a part of their prompts.
+    TasksFailed, // Tasks of an event loop that an exception ended.
 };
-constexpr size_t counterCount = static_cast<size_t>(Counter::RequestsWithheld) + 1;
+constexpr size_t counterCount = static_cast<size_t>(Counter::TasksFailed) + 1;
 
 // How a request ended, as its caller sees it.
 enum class ServiceLevel : uint8_t {
--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -122,13 +122,41 @@
         if (!keepsConnection())
             break;
     }
+    close(isReset);
+}
+
+void ClientSession::close(bool isReset)
+{
     ErrorCode ignored;
     if (isReset)
         m_stream.socket().set_option(net::socket_base::linger(true, 0), ignored);
     else
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_stream.close();
-    m_traffic.leave(self);
+    m_traffic.leave(shared_from_this());
+}
+
+net::awaitable<void> ClientSession::finishAbandoned()
+{
+    auto self = shared_from_this();
+    m_wantsClose = true;
+    m_held.release();
+    ErrorCode ignored;
+    m_stream.socket().cancel(ignored);
+    auto exchange = std::exchange(m_exchange, nullptr);
+    if (exchange) {
+        m_traffic.leave(exchange->id());
+        auto status = exchange->abandon();
+        if (status)
+            co_await sendWhole(errorAnswer(m_traffic.context().settings.headers, ResultCode::EndpointFailed, *status,
+                exchange->wireId(), std::nullopt));
+    } else if (!m_isIdle) {
+        // The request could not be held, for example because of the length of one field.
+        bool isSent = co_await reject(ResultCode::RequestTooLarge, 431, {}, std::nullopt);
+        if (isSent)
+            co_await discardRest();
+    }
+    close(exchange && m_isOldVersion);
 }
 
 net::awaitable<bool> ClientSession::awaitFirstByte()
@@ -305,8 +333,10 @@
 
     auto exchange = std::make_shared<Exchange>(m_traffic.context(), *this, std::move(request));
     m_traffic.enter(exchange);
+    m_exchange = exchange;
     watchCaller(exchange);
     auto end = co_await exchange->run();
+    m_exchange.reset();
     m_traffic.leave(exchange->id());
     ErrorCode ignored;
     m_stream.socket().cancel(ignored);
--- a/src/router/ClientSession.h
+++ b/src/router/ClientSession.h
@@ -16,6 +16,10 @@
     // Serves the connection until it ends.
     net::awaitable<void> run();
 
+    // Ends the session after a failure of run(): answers the request in progress if no part of its answer was sent, and
+    // closes the connection.
+    net::awaitable<void> finishAbandoned();
+
     // Closes the connection when no request has begun on it for a while: the first one of a new connection may be on
     // its way.
     void closeIfIdle(Instant now);
@@ -40,11 +44,13 @@
     net::awaitable<bool> reject(ResultCode, unsigned status, std::string wireId, std::optional<Duration> retryAfter);
     void watchCaller(const std::shared_ptr<Exchange>&);
     bool keepsConnection();
+    void close(bool isReset);
 
     Traffic& m_traffic;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     MemoryBudget::Share m_held; // Of the request.
+    std::shared_ptr<Exchange> m_exchange; // In progress.
     bool m_isIdle = true; // No byte of a request has arrived since the last answer.
     Instant m_idleSince; // Valid while m_isIdle.
     bool m_wantsClose = false; // The caller asked for it, or its connection cannot go on.
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -67,17 +67,17 @@
 
 } // namespace
 
-Control::Control(net::io_context& io, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
+Control::Control(EventLoop& loop, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
     const RouterSettings& settings, ControlPorts ports, const PlannerLeaseConfig& lease)
-    : m_io(io)
+    : m_loop(loop)
     , m_clock(clock)
     , m_journal(journal)
     , m_metrics(metrics)
     , m_settings(settings)
     , m_ports(ports)
     , m_core(coreConfigOf(settings))
-    , m_planner(io, clock, journal, ports.lease, ports.engines, m_directory, lease)
-    , m_sharing(io, clock, journal, metrics, settings, ports.hosts, lease.holder,
+    , m_planner(loop, clock, journal, ports.lease, ports.engines, m_directory, lease)
+    , m_sharing(loop, clock, journal, metrics, settings, ports.hosts, lease.holder,
           { [this](const FactQuestion& question) { return tell(question); },
               [this] {
                   FactQuestion question;
@@ -93,7 +93,7 @@
               [this](const EndpointId& id) { return m_directory.find(id) != nullptr; },
               [this](const EndpointObservation& it) { pauseFailed(it.endpoint, it.witness); },
               [this](std::vector<EndpointLoad> load) { return withReports(std::move(load)); } })
-    , m_partSharing(io, clock, journal, metrics,
+    , m_partSharing(loop, clock, journal, metrics,
           { settings.host, settings.dataCentre, settings.peerAddress, settings.linkMbps },
           [this] { return m_sharing.listedHosts(); })
 {
@@ -104,11 +104,11 @@
     m_traffic = &traffic;
     m_sharing.start();
     m_partSharing.start(traffic.parts());
-    net::co_spawn(m_io, followConfiguration(), net::detached);
-    net::co_spawn(m_io, followEndpoints(), net::detached);
-    net::co_spawn(m_io, tick(), net::detached);
-    net::co_spawn(m_io, followHeads(), net::detached);
-    net::co_spawn(m_io, m_planner.run(), net::detached);
+    m_loop.keepRunning("configuration", [this] { return followConfiguration(); });
+    m_loop.keepRunning("endpoint-list", [this] { return followEndpoints(); });
+    m_loop.keepRunning("tick", [this] { return tick(); });
+    m_loop.keepRunning("engine-reports", [this] { return followHeads(); });
+    m_loop.keepRunning("planner", [this] { return m_planner.run(); });
 }
 
 void Control::resign()
@@ -119,7 +119,7 @@
 
 void Control::postInput(CoreInput input)
 {
-    net::post(m_io, [this, input = std::move(input)] {
+    net::post(m_loop.io(), [this, input = std::move(input)] {
         if (const auto* failed = std::get_if<AttemptFailed>(&input))
             pauseAfter(*failed);
         apply(input);
@@ -147,7 +147,7 @@
 
 void Control::reportSilent(const EndpointId& id)
 {
-    net::post(m_io, [this, id] {
+    net::post(m_loop.io(), [this, id] {
         m_directory.markSilent(m_clock.now(), id);
         apply(EndpointStateReported { id, EndpointStateSource::Engine, EndpointAvailability::Down });
         m_sharing.observe(id);
@@ -156,7 +156,7 @@
 
 void Control::postNotice(EndpointNotice notice)
 {
-    net::post(m_io, [this, notice = std::move(notice)] {
+    net::post(m_loop.io(), [this, notice = std::move(notice)] {
         if (notice.isLeaving)
             noteLeaving(notice.endpoint);
         if (notice.pause)
@@ -166,7 +166,7 @@
 
 void Control::postPartNews()
 {
-    net::post(m_io, [this] { m_partSharing.noteNews(); });
+    net::post(m_loop.io(), [this] { m_partSharing.noteNews(); });
 }
 
 net::awaitable<TextAnswer> Control::answerPeer(TextRequest request)
@@ -194,7 +194,7 @@
     apply(EndpointStateReported { id, EndpointStateSource::Health, EndpointAvailability::Down });
 }
 
-void Control::apply(const CoreInput& input)
+void Control::apply(const CoreInput& input) noexcept
 {
     std::vector<CoreDecision> decisions;
     auto began = m_clock.now();
@@ -222,7 +222,7 @@
 
 net::awaitable<void> Control::followConfiguration()
 {
-    net::steady_timer timer(m_io);
+    net::steady_timer timer(m_loop.io());
     while (true) {
         co_await m_sharing.untilReading();
         auto sighting = co_await m_ports.configurations.next();
@@ -245,8 +245,12 @@
 {
     m_confirmedAt = std::max(m_confirmedAt, at);
     // Without a configuration there is nothing whose age counts.
-    if (m_configuration)
-        m_traffic->confirm(m_confirmedAt);
+    if (!m_configuration)
+        return;
+    // A failure may have come between the adoption and the publication.
+    if (m_publishedVersion != m_configuration->version)
+        publish();
+    m_traffic->confirm(m_confirmedAt);
 }
 
 Facts Control::tell(const FactQuestion& question) const
@@ -309,10 +313,12 @@
     if (!configuration || (m_configuration && configuration->version <= m_configuration->version))
         return;
     auto began = m_clock.now();
+    auto routes = std::make_shared<const RouteIndex>(*configuration);
+    auto ranks = std::make_shared<const RequestRanks>(*configuration);
     m_configuration = configuration;
     m_document = document;
-    m_routes = std::make_shared<const RouteIndex>(*m_configuration);
-    m_ranks = std::make_shared<const RequestRanks>(*m_configuration);
+    m_routes = std::move(routes);
+    m_ranks = std::move(ranks);
     m_planner.adopt(m_configuration);
     declareAccelerators();
     m_metrics.add(daemon::Counter::TablesAdopted);
@@ -348,6 +354,7 @@
         view->endpoints.emplace(it.endpoint, it);
     // The traffic thread receives the endpoints' addresses before the decisions that name them.
     m_traffic->publish(view);
+    m_publishedVersion = m_configuration->version;
     auto table = std::make_shared<const Table>(buildTable(*m_configuration, endpoints, ++m_revision));
     apply(TableAdopted { table });
     std::map<EndpointId, uint32_t> paces;
@@ -363,7 +370,7 @@
 
 net::awaitable<void> Control::followEndpoints()
 {
-    net::steady_timer timer(m_io);
+    net::steady_timer timer(m_loop.io());
     while (true) {
         co_await m_sharing.untilReading();
         auto listed = co_await m_ports.endpoints.list();
@@ -435,14 +442,14 @@
 
 net::awaitable<void> Control::followHeads()
 {
-    net::steady_timer timer(m_io);
+    net::steady_timer timer(m_loop.io());
     for (uint32_t number = 0;; ++number) {
         co_await m_sharing.untilReading();
         for (const auto& it : m_directory.endpoints()) {
             bool isHead = !it.layers.first;
             bool isDue = isHead || (number % paceIntervals == 0 && it.dataCentre == m_settings.dataCentre);
             if (it.layers.count() && isDue && !it.isLeaving && !m_directory.isSilent(it.endpoint))
-                net::co_spawn(m_io, askEngine(it), net::detached);
+                m_loop.spawn("engine-report", askEngine(it));
         }
         timer.expires_after(headInterval);
         ErrorCode ec;
@@ -538,7 +545,7 @@
 
 net::awaitable<void> Control::tick()
 {
-    net::steady_timer timer(m_io);
+    net::steady_timer timer(m_loop.io());
     for (uint32_t number = 0;; ++number) {
         timer.expires_after(tickInterval);
         ErrorCode ec;
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -19,10 +19,10 @@
     EngineControl& engines;
 };
 
-// Except where stated otherwise, functions are called on the thread that runs io().
+// Except where stated otherwise, functions are called on the thread that runs the loop.
 class Control {
 public:
-    Control(net::io_context&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, ControlPorts,
+    Control(EventLoop&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, ControlPorts,
         const PlannerLeaseConfig&);
 
     // traffic must outlive the event loop.
@@ -44,7 +44,8 @@
     net::awaitable<void> followConfiguration();
     net::awaitable<void> followEndpoints();
     net::awaitable<void> tick();
-    void apply(const CoreInput&);
+    // An exception ends the process: a core that was left halfway through an input may exceed limits.
+    void apply(const CoreInput&) noexcept;
     void pauseAfter(const AttemptFailed&);
     void adopt(const std::shared_ptr<const RoutingConfiguration>&, const std::shared_ptr<const std::string>& document);
     void confirm(Instant at);
@@ -73,7 +74,7 @@
     std::vector<EndpointLoad> withReports(std::vector<EndpointLoad>) const;
     void noteDependency(bool& isUp, bool isUpNow, const char* name, const Reason&);
 
-    net::io_context& m_io;
+    EventLoop& m_loop;
     const Clock& m_clock;
     Journal& m_journal;
     daemon::Metrics& m_metrics;
@@ -90,6 +91,7 @@
     std::shared_ptr<const std::string> m_document; // That m_configuration was decoded from.
     std::shared_ptr<const RouteIndex> m_routes; // Of m_configuration.
     std::shared_ptr<const RequestRanks> m_ranks; // Of m_configuration.
+    uint64_t m_publishedVersion = 0; // Of the configuration that the traffic thread has.
     Instant m_confirmedAt {}; // When the platform last vouched for m_configuration, or for its absence.
     size_t m_retryHosts = 0; // Daemons among which the repetitions were last divided.
     size_t m_peers = 0; // As the core was last told.
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -100,6 +100,19 @@
         interrupt();
 }
 
+std::optional<unsigned> Exchange::abandon()
+{
+    m_connection = nullptr;
+    m_standby.reset();
+    m_returning.reset();
+    m_context.postInput(CallerGone { m_request.id });
+    std::optional<unsigned> status;
+    if (!m_hasBegun && !m_isCallerGone)
+        status = m_mayHaveRun ? 502 : 503;
+    finish(ResultCode::EndpointFailed, status.value_or(0), EndedBy::Router);
+    return status;
+}
+
 void Exchange::interrupt()
 {
     m_connection->stream.cancel();
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -98,6 +98,9 @@
     void moveAway(const EndpointId& silent);
     // Called periodically: returns to the stream that was set aside when it has gone on first.
     void followStandby();
+    // Ends the exchange after a failure of run(). Returns the status of the answer that the caller is still due;
+    // nothing when it has received a part of another one.
+    std::optional<unsigned> abandon();
     // The process was held up for this long, in which no endpoint could show progress.
     void excuse(Duration delay);
 
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -47,9 +47,9 @@
 
 } // namespace
 
-FactSharing::FactSharing(net::io_context& io, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
+FactSharing::FactSharing(EventLoop& loop, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
     const RouterSettings& settings, HostRegistry& registry, std::string name, FactPort port)
-    : m_io(io)
+    : m_loop(loop)
     , m_clock(clock)
     , m_journal(journal)
     , m_metrics(metrics)
@@ -58,7 +58,7 @@
     , m_self { settings.host, settings.dataCentre, settings.peerAddress, settings.linkMbps }
     , m_name(std::move(name))
     , m_sourceSelector(settings.host, settings.dataCentre, settings.changeBound - timeWithoutSource)
-    , m_change(io)
+    , m_change(loop.io())
     , m_loadPace(settings.linkMbps)
 {
 }
@@ -69,12 +69,12 @@
         m_isReading = true;
         return;
     }
-    net::co_spawn(m_io, followHosts(), net::detached);
+    m_loop.keepRunning("host-registry", [this] { return followHosts(); });
 }
 
 net::awaitable<void> FactSharing::sleep(Duration time)
 {
-    net::steady_timer timer(m_io, time);
+    net::steady_timer timer(m_loop.io(), time);
     ErrorCode ec;
     co_await timer.async_wait(awaitInto(ec));
 }
@@ -136,7 +136,8 @@
 net::awaitable<void> FactSharing::followHosts()
 {
     bool isEntered = co_await enterHosts();
-    net::co_spawn(m_io, followPeers(), net::detached);
+    if (!std::exchange(m_isFollowingPeers, true))
+        m_loop.keepRunning("facts-source", [this] { return followPeers(); });
     Duration interval = registryInterval;
     while (true) {
         co_await sleep(isEntered ? interval : Duration(registryRetry));
@@ -184,7 +185,7 @@
         auto peer = *current;
         if (m_asked != peer.host.value() || !m_caller) {
             m_asked = peer.host.value();
-            m_caller.emplace(m_io.get_executor(), peer.address);
+            m_caller.emplace(m_loop.io().get_executor(), peer.address);
         }
         if (m_isReading && !isReadingWell())
             setReading(false);
@@ -296,14 +297,14 @@
         if (m_observations.add(now, { endpoint, m_self.host, {} }))
             noteNews();
     } else if (m_takesObservations && !m_source.empty()) {
-        net::co_spawn(m_io, reportObservation(endpoint, now), net::detached);
+        m_loop.spawn("observation-report", reportObservation(endpoint, now));
     }
 }
 
 // Observations are rare, so that each report has a connection of its own; the kept one waits for news.
 net::awaitable<void> FactSharing::reportObservation(EndpointId endpoint, Instant seenAt)
 {
-    HttpCaller caller(m_io.get_executor(), m_sourceAddress);
+    HttpCaller caller(m_loop.io().get_executor(), m_sourceAddress);
     auto age = std::chrono::ceil<milliseconds>(m_clock.now() - seenAt);
     std::vector<EndpointObservation> observations;
     observations.push_back({ std::move(endpoint), m_self.host, age });
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -32,7 +32,7 @@
 // Belongs to the control thread.
 class FactSharing {
 public:
-    FactSharing(net::io_context&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, HostRegistry&,
+    FactSharing(EventLoop&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, HostRegistry&,
         std::string name, FactPort);
 
     // Without an address for other daemons, this one reads the platform itself from the start.
@@ -94,7 +94,8 @@
     bool isInCharge() const { return m_sourceSelector.isInCharge(m_clock.now()); }
     net::awaitable<void> sleep(Duration);
 
-    net::io_context& m_io;
+    EventLoop& m_loop;
+    bool m_isFollowingPeers = false;
     const Clock& m_clock;
     Journal& m_journal;
     daemon::Metrics& m_metrics;
--- a/src/router/HttpCaller.h
+++ b/src/router/HttpCaller.h
@@ -7,6 +7,7 @@
 #include <spindlecore/spindlecore.h>
 
 #include <functional>
+#include <memory>
 
 namespace jacinthspindle::router {
 
@@ -38,14 +39,15 @@
     const Reason& lastReason() const { return m_lastReason; }
 
 private:
-    net::awaitable<bool> connect(std::chrono::milliseconds timeout);
+    // Returns the kept connection or a new one.
+    net::awaitable<std::unique_ptr<beast::tcp_stream>> takeStream(std::chrono::milliseconds timeout);
     std::optional<HttpReply> fail(const char* step, const ErrorCode&);
 
     net::any_io_executor m_executor;
     std::string m_address;
     size_t m_maxAnswerBytes;
     std::vector<std::pair<std::string, std::string>> m_headers;
-    std::optional<beast::tcp_stream> m_stream;
+    std::unique_ptr<beast::tcp_stream> m_stream; // Null during a call, so that a failed one leaves nothing half read.
     bool m_wasSent = false;
     Reason m_lastReason;
 };
--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -26,9 +26,9 @@
 
 } // namespace
 
-LayoutPlanner::LayoutPlanner(net::io_context& io, const Clock& clock, Journal& journal, LeaseStore& store,
+LayoutPlanner::LayoutPlanner(EventLoop& loop, const Clock& clock, Journal& journal, LeaseStore& store,
     EngineControl& control, const EndpointDirectory& directory, PlannerLeaseConfig config)
-    : m_io(io)
+    : m_loop(loop)
     , m_clock(clock)
     , m_journal(journal)
     , m_store(store)
@@ -41,7 +41,7 @@
 
 net::awaitable<void> LayoutPlanner::run()
 {
-    net::steady_timer timer(m_io);
+    net::steady_timer timer(m_loop.io());
     while (true) {
         if (m_isCandidate || m_term)
             co_await advanceLease();
@@ -165,7 +165,7 @@
         if (!endpoint)
             continue;
         m_ordered[order.endpoint] = { order.layers, now + callTimeout * 2, false };
-        net::co_spawn(m_io, carryOut(*endpoint, order.layers, model), net::detached);
+        m_loop.spawn("placement-order", carryOut(*endpoint, order.layers, model));
     }
 }
 
--- a/src/router/LayoutPlanner.h
+++ b/src/router/LayoutPlanner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "router/EndpointDirectory.h"
+#include "router/EventLoop.h"
 #include "router/Journal.h"
 
 namespace jacinthspindle::router {
@@ -10,8 +11,8 @@
 // Belongs to the control thread.
 class LayoutPlanner {
 public:
-    LayoutPlanner(net::io_context&, const Clock&, Journal&, LeaseStore&, EngineControl&, const EndpointDirectory&,
-        PlannerLeaseConfig);
+    LayoutPlanner(
+        EventLoop&, const Clock&, Journal&, LeaseStore&, EngineControl&, const EndpointDirectory&, PlannerLeaseConfig);
 
     // Runs until the event loop ends.
     net::awaitable<void> run();
@@ -42,7 +43,7 @@
     std::vector<PlacedEngine> enginesOf(const std::string& service, Instant now);
     bool isListSettled(Instant now);
 
-    net::io_context& m_io;
+    EventLoop& m_loop;
     const Clock& m_clock;
     Journal& m_journal;
     LeaseStore& m_store;
--- a/src/router/PartSharing.cpp
+++ b/src/router/PartSharing.cpp
@@ -86,15 +86,15 @@
     });
 }
 
-PartSharing::PartSharing(net::io_context& io, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
-    PeerHost self, std::function<std::vector<PeerHost>()> hosts)
-    : m_io(io)
+PartSharing::PartSharing(EventLoop& loop, const Clock& clock, Journal& journal, daemon::Metrics& metrics, PeerHost self,
+    std::function<std::vector<PeerHost>()> hosts)
+    : m_loop(loop)
     , m_clock(clock)
     , m_journal(journal)
     , m_metrics(metrics)
     , m_self(std::move(self))
     , m_hosts(std::move(hosts))
-    , m_change(io)
+    , m_change(loop.io())
 {
 }
 
@@ -103,8 +103,8 @@
     m_parts = &parts;
     if (m_self.address.empty())
         return;
-    net::co_spawn(m_io, pushNews(), net::detached);
-    net::co_spawn(m_io, followOthers(), net::detached);
+    m_loop.keepRunning("parts-push", [this] { return pushNews(); });
+    m_loop.keepRunning("parts-source", [this] { return followOthers(); });
 }
 
 void PartSharing::noteNews()
@@ -135,9 +135,9 @@
         auto left = std::make_shared<std::vector<PeerHost>>(others());
         auto pushes = std::min(concurrentPushes, left->size());
         for (size_t i = 0; i < pushes; ++i)
-            net::co_spawn(m_io, push(left), net::detached);
+            m_loop.spawn("parts-push-peers", push(left));
         // Ends that follow at once are told together.
-        net::steady_timer timer(m_io, callTimeout / 3);
+        net::steady_timer timer(m_loop.io(), callTimeout / 3);
         ErrorCode ec;
         co_await timer.async_wait(awaitInto(ec));
     }
@@ -158,7 +158,7 @@
     bool needsAll = true;
     while (true) {
         auto began = m_clock.now();
-        net::steady_timer timer(m_io, exchangeInterval);
+        net::steady_timer timer(m_loop.io(), exchangeInterval);
         ErrorCode ec;
         co_await timer.async_wait(awaitInto(ec));
         needsAll = needsAll || m_clock.now() - began >= longestTurn;
@@ -185,7 +185,7 @@
 
 net::awaitable<bool> PartSharing::exchangeWith(PeerHost peer, std::string_view target)
 {
-    HttpCaller caller(m_io.get_executor(), peer.address, maxMessageBytes);
+    HttpCaller caller(m_loop.io().get_executor(), peer.address, maxMessageBytes);
     auto body = encodePartMessage({ m_self, m_parts->news(m_clock.now(), false) });
     auto reply = co_await caller.call(http::verb::post, std::string(target), std::move(body), callTimeout);
     // Daemons of earlier releases do not know the target.
--- a/src/router/PartSharing.h
+++ b/src/router/PartSharing.h
@@ -31,7 +31,7 @@
 class PartSharing {
 public:
     // hosts: the daemons that this one has read of.
-    PartSharing(net::io_context&, const Clock&, Journal&, daemon::Metrics&, PeerHost self,
+    PartSharing(EventLoop&, const Clock&, Journal&, daemon::Metrics&, PeerHost self,
         std::function<std::vector<PeerHost>()> hosts);
 
     // parts must outlive the event loop.
@@ -49,7 +49,7 @@
     std::vector<PeerHost> others() const;
     std::optional<PeerHost> nextPeer();
 
-    net::io_context& m_io;
+    EventLoop& m_loop;
     const Clock& m_clock;
     Journal& m_journal;
     daemon::Metrics& m_metrics;
--- a/src/router/TextServer.cpp
+++ b/src/router/TextServer.cpp
@@ -16,9 +16,9 @@
     return [answer = std::move(answer)](TextRequest) -> net::awaitable<TextAnswer> { co_return answer(); };
 }
 
-TextServer::TextServer(net::io_context& io, TextHandler handler)
-    : m_io(io)
-    , m_acceptor(io)
+TextServer::TextServer(EventLoop& loop, TextHandler handler)
+    : m_loop(loop)
+    , m_acceptor(loop.io())
     , m_handler(std::move(handler))
 {
 }
@@ -27,21 +27,21 @@
 {
     if (auto reason = listenOn(m_acceptor, address))
         return reason;
-    net::co_spawn(m_io, accept(), net::detached);
+    m_loop.keepRunning("text-acceptor", [this] { return accept(); });
     return std::nullopt;
 }
 
 net::awaitable<void> TextServer::accept()
 {
-    net::steady_timer pause(m_io);
+    net::steady_timer pause(m_loop.io());
     while (true) {
         ErrorCode ec;
-        tcp::socket socket(m_io);
+        tcp::socket socket(m_loop.io());
         co_await m_acceptor.async_accept(socket, awaitInto(ec));
         if (ec == net::error::operation_aborted)
             co_return;
         if (!ec) {
-            net::co_spawn(m_io, serve(std::move(socket)), net::detached);
+            m_loop.spawn("text-connection", serve(std::move(socket)));
             continue;
         }
         pause.expires_after(acceptPause);
--- a/src/router/TextServer.h
+++ b/src/router/TextServer.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include "router/Net.h"
+#include "router/EventLoop.h"
 
 #include <spindlecore/spindlecore.h>
 
@@ -29,7 +29,7 @@
 // Belongs to one event loop; the handler runs on it.
 class TextServer {
 public:
-    TextServer(net::io_context&, TextHandler);
+    TextServer(EventLoop&, TextHandler);
 
     // Returns why the address cannot be opened.
     std::optional<Reason> open(const std::string& address);
@@ -38,7 +38,7 @@
     net::awaitable<void> accept();
     net::awaitable<void> serve(tcp::socket);
 
-    net::io_context& m_io;
+    EventLoop& m_loop;
     tcp::acceptor m_acceptor;
     TextHandler m_handler;
 };
--- a/src/router/Traffic.cpp
+++ b/src/router/Traffic.cpp
@@ -37,22 +37,22 @@
 
 } // namespace
 
-Traffic::Traffic(net::io_context& io, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
+Traffic::Traffic(EventLoop& loop, const Clock& clock, Journal& journal, daemon::Metrics& metrics,
     const RouterSettings& settings, ControlPort control, EngineControl& engines)
-    : m_io(io)
+    : m_loop(loop)
     , m_journal(journal)
     , m_settings(settings)
     , m_control(std::move(control))
     , m_engines(engines)
-    , m_pool(io.get_executor(), clock)
+    , m_pool(loop.io().get_executor(), clock)
     , m_requestMemory(settings.mostHeldBytes)
     , m_answerMemory(settings.mostHeldBytes)
-    , m_context { io.get_executor(), clock, journal, metrics, m_pool, settings, m_control.postInput,
+    , m_context { loop.io().get_executor(), clock, journal, metrics, m_pool, settings, m_control.postInput,
         m_control.postNotice, [this] { return m_view; }, [this](const EndpointId& id) { return isLost(id); },
         [this] { return m_loopWatch.longestDelay(m_context.clock.now()); }, m_parts,
         [this](UnbegunLoss loss) { noteLoss(std::move(loss)); }, m_answerMemory,
         [this](const EndpointId& id) { m_silentHeads.noteAnswer(id); } }
-    , m_acceptor(io)
+    , m_acceptor(loop.io())
     , m_loopWatch(sweepInterval)
 {
 }
@@ -61,17 +61,17 @@
 {
     if (auto reason = listenOn(m_acceptor, m_settings.frontAddress))
         return reason;
-    net::co_spawn(m_io, acceptCallers(), net::detached);
-    net::co_spawn(m_io, sweep(), net::detached);
+    m_loop.keepRunning("acceptor", [this] { return acceptCallers(); });
+    m_loop.keepRunning("sweep", [this] { return sweep(); });
     return std::nullopt;
 }
 
 net::awaitable<void> Traffic::acceptCallers()
 {
-    net::steady_timer pause(m_io);
+    net::steady_timer pause(m_loop.io());
     while (m_acceptor.is_open()) {
         ErrorCode ec;
-        tcp::socket socket(m_io);
+        tcp::socket socket(m_loop.io());
         co_await m_acceptor.async_accept(socket, awaitInto(ec));
         if (!ec) {
             serve(std::move(socket));
@@ -90,7 +90,13 @@
 {
     auto session = std::make_shared<ClientSession>(*this, std::move(socket));
     m_sessions.insert(session);
-    net::co_spawn(m_io, session->run(), net::detached);
+    m_loop.spawn("client-session", session->run(), [this, session] { abandon(session); });
+}
+
+// A request that was in progress is answered in a task of its own, since the session's own task is gone.
+void Traffic::abandon(const std::shared_ptr<ClientSession>& session)
+{
+    m_loop.spawn("failed-session", session->finishAbandoned(), [this, session] { leave(session); });
 }
 
 // Takes the connections that wait to be accepted: closing the address would reset them, and with them requests that
@@ -101,7 +107,7 @@
     m_acceptor.cancel(ec);
     m_acceptor.non_blocking(true, ec);
     while (!ec) {
-        tcp::socket socket(m_io);
+        tcp::socket socket(m_loop.io());
         m_acceptor.accept(socket, ec);
         if (!ec)
             serve(std::move(socket));
@@ -110,17 +116,17 @@
 
 void Traffic::publish(std::shared_ptr<const RoutingView> view)
 {
-    net::post(m_io, [this, view = std::move(view)] { m_view = view; });
+    net::post(m_loop.io(), [this, view = std::move(view)] { m_view = view; });
 }
 
 void Traffic::confirm(Instant at)
 {
-    net::post(m_io, [this, at] { m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, at) : at; });
+    net::post(m_loop.io(), [this, at] { m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, at) : at; });
 }
 
 void Traffic::deliver(std::vector<CoreDecision> decisions)
 {
-    net::post(m_io, [this, decisions = std::move(decisions)] {
+    net::post(m_loop.io(), [this, decisions = std::move(decisions)] {
         for (const auto& decision : decisions) {
             const auto& id = std::visit([](const auto& it) -> const RequestId& { return it.request; }, decision);
             auto found = m_exchanges.find(id);
@@ -199,7 +205,7 @@
 
 net::awaitable<void> Traffic::sweep()
 {
-    net::steady_timer timer(m_io);
+    net::steady_timer timer(m_loop.io());
     while (true) {
         timer.expires_after(sweepInterval);
         ErrorCode ec;
@@ -241,7 +247,7 @@
     if (now - askedAt < inquiryInterval + inquiryTimeout)
         return;
     askedAt = now;
-    net::co_spawn(m_io, inquire(head), net::detached);
+    m_loop.spawn("inquiry", inquire(head));
 }
 
 bool Traffic::isLost(const EndpointId& id) const
@@ -290,15 +296,17 @@
         return;
     auto& losses = m_losses[engine.endpoint];
     losses.push_back(std::move(loss));
-    if (losses.size() == 1)
-        net::co_spawn(m_io, confirmEnd(std::move(engine)), net::detached);
+    if (losses.size() == 1) {
+        auto id = engine.endpoint;
+        m_loop.spawn("proof-of-end", confirmEnd(std::move(engine)), [this, id] { m_losses.erase(id); });
+    }
 }
 
 // Returns what proves that the engine has ended, or null. A lost connection proves nothing, since it may have been
 // reset on the way, nor does an inquiry without an answer: a sound engine may be silent.
 net::awaitable<const char*> Traffic::findProofOfEnd(EndpointSighting engine)
 {
-    net::steady_timer timer(m_io);
+    net::steady_timer timer(m_loop.io());
     auto begin = m_context.clock.now();
     auto turnedAt = begin;
     auto end = begin + longestSoundSilence;
@@ -307,7 +315,7 @@
         auto report = co_await m_engines.report(engine.address, inquiryTimeout);
         if (report)
             co_return isSameStart(engine, *report) ? nullptr : "restarted";
-        beast::tcp_stream stream(m_io);
+        beast::tcp_stream stream(m_loop.io());
         auto ec = co_await connectTo(stream, engine.address, inquiryTimeout);
         if (ec == net::error::connection_refused)
             co_return "refused";
@@ -330,7 +338,7 @@
 
 net::awaitable<void> Traffic::confirmEnd(EndpointSighting engine)
 {
-    net::steady_timer timer(m_io, lossCollectionTime);
+    net::steady_timer timer(m_loop.io(), lossCollectionTime);
     ErrorCode ec;
     co_await timer.async_wait(awaitInto(ec));
     const char* proof = co_await findProofOfEnd(engine);
@@ -370,11 +378,11 @@
 
 void Traffic::drain(std::function<void()> onIdle)
 {
-    net::post(m_io, [this, onIdle = std::move(onIdle)]() mutable {
+    net::post(m_loop.io(), [this, onIdle = std::move(onIdle)]() mutable {
         if (isDraining())
             return;
         m_drainedAt = m_context.clock.now();
-        net::co_spawn(m_io, finishDrain(std::move(onIdle)), net::detached);
+        m_loop.keepRunning("drain", [this, onIdle = std::move(onIdle)] { return finishDrain(onIdle); });
     });
 }
 
@@ -391,7 +399,7 @@
 
 net::awaitable<void> Traffic::finishDrain(std::function<void()> onIdle)
 {
-    net::steady_timer timer(m_io);
+    net::steady_timer timer(m_loop.io());
     ErrorCode ec;
     timer.expires_after(balancerLag);
     co_await timer.async_wait(awaitInto(ec));
--- a/src/router/Traffic.h
+++ b/src/router/Traffic.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "router/ClientSession.h"
+#include "router/EventLoop.h"
 #include "router/LoopWatch.h"
 #include "router/RoutingView.h"
 #include "router/SilentEngines.h"
@@ -20,11 +21,10 @@
     std::function<void()> postPartNews; // This daemon knows more about parts of prompts; see PromptParts.
 };
 
-// Except where stated otherwise, functions are called on the thread that runs io().
+// Except where stated otherwise, functions are called on the thread that runs the loop.
 class Traffic {
 public:
-    Traffic(
-        net::io_context&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, ControlPort, EngineControl&);
+    Traffic(EventLoop&, const Clock&, Journal&, daemon::Metrics&, const RouterSettings&, ControlPort, EngineControl&);
 
     // Opens the addresses; nothing is served before. Returns why one cannot be opened.
     std::optional<Reason> open();
@@ -66,6 +66,8 @@
     net::awaitable<void> acceptCallers();
     void acceptWaiting();
     void serve(tcp::socket);
+    // The task of the session has failed.
+    void abandon(const std::shared_ptr<ClientSession>&);
     net::awaitable<void> sweep();
     net::awaitable<void> inquire(EndpointSighting head);
     void beginInquiry(Instant now, const EndpointSighting& head);
@@ -84,7 +86,7 @@
     void noteDelay(Duration);
     void noteBlockedParts();
 
-    net::io_context& m_io;
+    EventLoop& m_loop;
     Journal& m_journal;
     const RouterSettings& m_settings;
     ControlPort m_control;
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -4,6 +4,7 @@
 #include "platform/Settings.h"
 #include "router/BootClock.h"
 #include "router/Control.h"
+#include "router/EventLoop.h"
 #include "router/TextServer.h"
 
 #include <cstdlib>
@@ -100,29 +101,32 @@
     Process(const platform::PlatformSettings& settings, const Clock& clock, router::Journal& journal)
         : m_settings(settings)
         , m_journal(journal)
-        , m_configurations(m_controlIo.get_executor(), clock, journal, m_era, settings.storeAddress)
-        , m_endpoints(m_controlIo.get_executor(), journal, m_era, settings.storeAddress)
-        , m_hosts(m_controlIo.get_executor(), m_era, settings.storeAddress)
-        , m_lease(m_controlIo.get_executor(), m_era, settings.storeAddress)
-        , m_planningEngines(m_controlIo.get_executor())
-        , m_trafficEngines(m_trafficIo.get_executor())
-        , m_control(m_controlIo, clock, journal, m_metrics, settings.router,
+        , m_controlLoop(journal, m_metrics)
+        , m_trafficLoop(journal, m_metrics)
+        , m_configurations(m_controlLoop.io().get_executor(), clock, journal, m_era, settings.storeAddress)
+        , m_endpoints(m_controlLoop.io().get_executor(), journal, m_era, settings.storeAddress)
+        , m_hosts(m_controlLoop.io().get_executor(), m_era, settings.storeAddress)
+        , m_lease(m_controlLoop.io().get_executor(), m_era, settings.storeAddress)
+        , m_planningEngines(m_controlLoop.io().get_executor())
+        , m_trafficEngines(m_trafficLoop.io().get_executor())
+        , m_control(m_controlLoop, clock, journal, m_metrics, settings.router,
               { m_configurations, m_endpoints, m_hosts, m_lease, m_planningEngines },
               leaseConfigOf(settings.router, clock))
-        , m_traffic(m_trafficIo, clock, journal, m_metrics, settings.router,
+        , m_traffic(m_trafficLoop, clock, journal, m_metrics, settings.router,
               { [this](CoreInput input) { m_control.postInput(std::move(input)); },
                   [this](const EndpointId& id) { m_control.reportSilent(id); },
                   [this](router::EndpointNotice notice) { m_control.postNotice(std::move(notice)); },
                   [this] { m_control.postPartNews(); } },
               m_trafficEngines)
-        , m_ready(m_trafficIo, router::immediately([this] {
+        , m_ready(m_trafficLoop, router::immediately([this] {
             return router::TextAnswer { m_traffic.isReady() ? 200U : 503U, {} };
         }))
-        , m_metricsServer(m_controlIo, router::immediately([this] {
+        , m_metricsServer(m_controlLoop, router::immediately([this] {
             return router::TextAnswer { 200, m_metrics.prometheusText() };
         }))
-        , m_peers(m_controlIo, [this](router::TextRequest request) { return m_control.answerPeer(std::move(request)); })
-        , m_signals(m_controlIo, SIGTERM, SIGINT, SIGHUP)
+        , m_peers(
+              m_controlLoop, [this](router::TextRequest request) { return m_control.answerPeer(std::move(request)); })
+        , m_signals(m_controlLoop.io(), SIGTERM, SIGINT, SIGHUP)
     {
         m_metrics.addGauge("log_lines_suppressed", "Log lines that were left out since the start",
             [this] { return static_cast<double>(m_journal.suppressed()); });
@@ -148,9 +152,9 @@
     {
         m_control.start(m_traffic);
         awaitSignal();
-        std::thread traffic([this] { m_trafficIo.run(); });
-        m_controlIo.run();
-        m_trafficIo.stop();
+        std::thread traffic([this] { m_trafficLoop.run(); });
+        m_controlLoop.run();
+        m_trafficLoop.stop();
         traffic.join();
     }
 
@@ -167,7 +171,7 @@
             }
             m_journal.write(LineKind::Info, "stop-requested", { { "signal", number } });
             m_control.resign();
-            m_traffic.drain([this] { m_controlIo.stop(); });
+            m_traffic.drain([this] { m_controlLoop.stop(); });
             awaitSignal();
         });
     }
@@ -175,8 +179,8 @@
     const platform::PlatformSettings& m_settings;
     router::Journal& m_journal;
     daemon::Metrics m_metrics;
-    router::net::io_context m_controlIo { 1 };
-    router::net::io_context m_trafficIo { 1 };
+    router::EventLoop m_controlLoop;
+    router::EventLoop m_trafficLoop;
     platform::StoreEra m_era;
     platform::StoreConfigurationSource m_configurations;
     platform::StoreEndpointSource m_endpoints;
--- a/test/fleet/StoreStandIn.cpp
+++ b/test/fleet/StoreStandIn.cpp
@@ -48,16 +48,16 @@
 } // namespace
 
 StoreStandIn::StoreStandIn(const std::string& address)
-    : m_server(m_io, [this](router::TextRequest request) { return answer(std::move(request)); })
+    : m_server(m_loop, [this](router::TextRequest request) { return answer(std::move(request)); })
 {
     if (auto reason = m_server.open(address))
         m_problem = reason->text;
-    m_thread = std::thread([this] { m_io.run(); });
+    m_thread = std::thread([this] { m_loop.run(); });
 }
 
 StoreStandIn::~StoreStandIn()
 {
-    m_io.stop();
+    m_loop.stop();
     m_thread.join();
 }
 
@@ -102,7 +102,7 @@
     auto table = query["table"];
     uint64_t since = std::stoull("0" + query["sinceRev"]);
     auto end = std::chrono::steady_clock::now() + milliseconds(std::stoull("0" + query["waitMs"]));
-    router::net::steady_timer timer(m_io);
+    router::net::steady_timer timer(m_loop.io());
     while (std::chrono::steady_clock::now() < end && !hasChanged(table, since) && !m_isAway) {
         timer.expires_after(feedStep);
         router::ErrorCode ec;
--- a/test/fleet/StoreStandIn.h
+++ b/test/fleet/StoreStandIn.h
@@ -2,12 +2,14 @@
 
 #pragma once
 
+#include "router/BootClock.h"
 #include "router/TextServer.h"
 
 #include <atomic>
 #include <map>
 #include <mutex>
 #include <thread>
+#include <unistd.h>
 
 namespace jacinthspindle::fleet {
 
@@ -47,7 +49,10 @@
     uint64_t m_version = 1;
     std::atomic<bool> m_isAway { false };
     std::string m_problem;
-    router::net::io_context m_io { 1 };
+    router::BootClock m_clock;
+    router::Journal m_journal { m_clock, "store", STDERR_FILENO };
+    daemon::Metrics m_metrics;
+    router::EventLoop m_loop { m_journal, m_metrics };
     router::TextServer m_server;
     std::thread m_thread;
 };
--- a/test/router/LayoutPlannerTest.cpp
+++ b/test/router/LayoutPlannerTest.cpp
@@ -72,10 +72,11 @@
 // Runs a planner for one engine of the list until the engine at its address was asked or ordered.
 void plan(EngineAtAddress& control)
 {
-    net::io_context io(1);
     BootClock clock;
     int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
     Journal journal(clock, "host-1", sink);
+    daemon::Metrics metrics;
+    EventLoop loop(journal, metrics);
     OwnLease lease;
     EndpointDirectory directory;
     EndpointSighting engine;
@@ -88,12 +89,12 @@
     directory.update(clock.now(), { engine });
     PlannerLeaseConfig config;
     config.holder = "host-1/1";
-    LayoutPlanner planner(io, clock, journal, lease, control, directory, config);
+    LayoutPlanner planner(loop, clock, journal, lease, control, directory, config);
     planner.adopt(configurationOfModel());
-    net::co_spawn(io, planner.run(), net::detached);
+    net::co_spawn(loop.io(), planner.run(), net::detached);
     for (int i = 0; i < 100 && !control.reports; ++i)
-        io.run_for(100ms);
-    io.run_for(100ms);
+        loop.io().run_for(100ms);
+    loop.io().run_for(100ms);
     close(sink);
 }
 
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -27,8 +27,15 @@
     std::vector<PeerHost> hosts; // Daemons that entered themselves.
     uint32_t configurationReads = 0;
     bool isUp = true; // False: nothing is answered.
+    bool isThrowing = false; // Calls of the platform and of engines throw.
     std::vector<router::EndpointSighting> endpoints;
     std::map<std::string, router::EngineReport> reports; // By address.
+
+    void throwIfWanted() const
+    {
+        if (isThrowing)
+            throw std::length_error("platform");
+    }
 };
 
 inline RouteSettings routeOf(const std::string& service, const std::string& prefix, Repeatability repeatability)
@@ -78,6 +85,7 @@
         co_await m_timer.async_wait(router::awaitInto(ec));
         std::lock_guard lock(m_state.mutex);
         ++m_state.configurationReads;
+        m_state.throwIfWanted();
         if (!m_state.isUp)
             co_return std::nullopt;
         co_return router::ConfigurationSighting { m_state.configuration, m_state.document, m_clock.now() };
@@ -107,6 +115,7 @@
     router::net::awaitable<std::optional<std::vector<router::EndpointSighting>>> list() override
     {
         std::lock_guard lock(m_state.mutex);
+        m_state.throwIfWanted();
         if (!m_state.isUp)
             co_return std::nullopt;
         co_return m_state.endpoints;
@@ -165,6 +174,7 @@
         std::string address, std::chrono::milliseconds) override
     {
         std::lock_guard lock(m_state.mutex);
+        m_state.throwIfWanted();
         auto it = m_state.reports.find(address);
         if (it == m_state.reports.end())
             co_return std::nullopt;
@@ -258,20 +268,27 @@
         const char* host = "host-1", uint32_t linkMbps = 0, size_t mostHeldBytes = size_t { 32 } << 20)
         : m_log(std::tmpfile())
         , m_journal(m_clock, host, fileno(m_log))
-        , m_configurations(m_state, m_clock, m_controlIo)
+        , m_controlLoop(m_journal, m_metrics)
+        , m_trafficLoop(m_journal, m_metrics)
+        , m_configurations(m_state, m_clock, m_controlLoop.io())
         , m_endpoints(m_state)
         , m_hosts(m_state)
         , m_engines(m_state)
         , m_settings(settings(host, linkMbps, mostHeldBytes))
-        , m_control(m_controlIo, m_clock, m_journal, m_metrics, m_settings,
+        , m_control(m_controlLoop, m_clock, m_journal, m_metrics, m_settings,
               { m_configurations, m_endpoints, m_hosts, m_lease, m_engines }, leaseOf(host))
-        , m_traffic(m_trafficIo, m_clock, m_journal, m_metrics, m_settings,
-              { [this](CoreInput input) { m_control.postInput(std::move(input)); },
+        , m_traffic(m_trafficLoop, m_clock, m_journal, m_metrics, m_settings,
+              { [this](CoreInput input) {
+                   if (inputHook)
+                       inputHook(input);
+                   m_control.postInput(std::move(input));
+               },
                   [this](const EndpointId& id) { m_control.reportSilent(id); },
                   [this](router::EndpointNotice notice) { m_control.postNotice(std::move(notice)); },
                   [this] { m_control.postPartNews(); } },
               m_engines)
-        , m_peers(m_controlIo, [this](router::TextRequest request) { return m_control.answerPeer(std::move(request)); })
+        , m_peers(
+              m_controlLoop, [this](router::TextRequest request) { return m_control.answerPeer(std::move(request)); })
     {
         m_state.configuration = std::make_shared<const RoutingConfiguration>(sampleConfiguration());
     }
@@ -284,8 +301,8 @@
 
     void stop()
     {
-        m_controlIo.stop();
-        m_trafficIo.stop();
+        m_controlLoop.stop();
+        m_trafficLoop.stop();
         for (auto& it : m_threads)
             it.join();
         m_threads.clear();
@@ -301,8 +318,8 @@
             failure = m_peers.open(m_settings.peerAddress);
         REQUIRE_MESSAGE(!failure, (failure ? failure->text : ""));
         m_control.start(m_traffic);
-        m_threads.emplace_back([this] { m_controlIo.run(); });
-        m_threads.emplace_back([this] { m_trafficIo.run(); });
+        m_threads.emplace_back([this] { m_controlLoop.run(); });
+        m_threads.emplace_back([this] { m_trafficLoop.run(); });
         REQUIRE(eventually([this] { return isReady(); }));
     }
 
@@ -310,7 +327,7 @@
     {
         std::promise<bool> answer;
         auto future = answer.get_future();
-        router::net::post(m_trafficIo, [&] { answer.set_value(m_traffic.isReady()); });
+        router::net::post(m_trafficLoop.io(), [&] { answer.set_value(m_traffic.isReady()); });
         return future.get();
     }
 
@@ -343,16 +360,18 @@
     }
 
     // Runs on the traffic thread, behind what it has been given so far.
-    void runOnTraffic(std::function<void()> task) { router::net::post(m_trafficIo, std::move(task)); }
+    void runOnTraffic(std::function<void()> task) { router::net::post(m_trafficLoop.io(), std::move(task)); }
 
     // Holds the traffic thread up, as a machine does that gives the process no processor time.
     void holdUpTraffic(std::chrono::milliseconds duration)
     {
-        router::net::post(m_trafficIo, [duration] { std::this_thread::sleep_for(duration); });
+        router::net::post(m_trafficLoop.io(), [duration] { std::this_thread::sleep_for(duration); });
     }
 
     std::string send(const std::string& bytes) { return talk(m_settings.frontAddress, bytes); }
     PlatformState& platform() { return m_state; }
+    // Called on the traffic thread before each input for the core; set it before start().
+    std::function<void(const CoreInput&)> inputHook;
     const daemon::Metrics& metrics() const { return m_metrics; }
     router::Traffic& traffic() { return m_traffic; }
     const router::RouterSettings& routerSettings() const { return m_settings; }
@@ -393,8 +412,8 @@
     router::Journal m_journal;
     daemon::Metrics m_metrics;
     PlatformState m_state;
-    router::net::io_context m_controlIo { 1 };
-    router::net::io_context m_trafficIo { 1 };
+    router::EventLoop m_controlLoop;
+    router::EventLoop m_trafficLoop;
     MemoryConfigurations m_configurations;
     MemoryEndpoints m_endpoints;
     MemoryHosts m_hosts;
