Run a request on a public route for the tenant of its key, or for none

Cause: keys were looked up only on routes that need one. The name that the platform adapter made up for counting requests without a key was sent to the endpoint as the tenant.

Change: a key that is sent decides on every route; a public one needs none. Requests without a key belong to a workspace without a name, of which endpoints are not told, so that shares and limits follow what the endpoint is told. An unknown key is answered with 401 on every route, by PROTOCOL.md ("A request with an unknown key receives a 401 response"), and a key that may have been taken away with 503. Without tenants there are no keys.

--- a/include/spindlecore/RoutingConfiguration.h
+++ b/include/spindlecore/RoutingConfiguration.h
@@ -86,15 +86,19 @@
     std::chrono::milliseconds idleTimeout { 15000 };
 };
 
+// Of requests without a key. It is counted like any other workspace, and no endpoint is told of it.
+inline const WorkspaceId noWorkspace;
+
 struct RoutingConfiguration {
     uint64_t version = 0; // Increases with each accepted change; 0: no configuration has been read.
     std::vector<RouteSettings> routes;
     std::vector<ServiceSettings> services;
-    std::vector<WorkspaceId> workspaces;
+    std::vector<WorkspaceId> workspaces; // Starts with noWorkspace.
     std::unordered_map<std::string, WorkspaceId> workspaceByKey; // By API key.
     std::unordered_map<WorkspaceId, uint8_t> workspacePriorities; // Only of workspaces that have one.
     CallerLimits limits;
 
+    bool hasKeys() const { return workspaces.size() > 1; }
     // Returns null when there is no service of this name.
     const ServiceSettings* findService(std::string_view name) const;
 };
--- a/src/router/ClientSession.cpp
+++ b/src/router/ClientSession.cpp
@@ -277,10 +277,30 @@
     co_return co_await sendWhole(std::move(answer));
 }
 
+std::variant<WorkspaceId, ClientSession::Refusal> ClientSession::identify(
+    const RoutingConfiguration& configuration, const RouteSettings& route, const Request& message) const
+{
+    auto key = keyOf(message);
+    // Such a route needs no key. One that is sent all the same decides for whom the endpoint works.
+    bool mayLackKey = route.isPublic && (!key || !configuration.hasKeys());
+    if (mayLackKey)
+        return noWorkspace;
+    auto age = m_traffic.configurationAge();
+    const Refusal stale { ResultCode::TableNotReady, 503, staleRetryAfter };
+    if (age > m_traffic.context().settings.keyRevocationBound - revocationMargin)
+        return stale;
+    const auto& holders = configuration.workspaceByKey;
+    auto holder = key ? holders.find(*key) : holders.end();
+    if (holder != holders.end())
+        return holder->second;
+    if (key && age > absenceProof)
+        return stale;
+    return Refusal { ResultCode::WorkspaceUnknown, 401, std::nullopt };
+}
+
 net::awaitable<bool> ClientSession::serve(Request message)
 {
     const auto& names = m_traffic.context().settings.headers;
-    const auto& settings = m_traffic.context().settings;
     auto arrivedAt = m_traffic.context().clock.now();
     std::string wireId(message[names.requestId]);
     const auto view = m_traffic.view();
@@ -299,18 +319,10 @@
     if (!route)
         co_return co_await reject(ResultCode::RouteUnknown, 404, wireId, std::nullopt);
     RoutedRequest request;
-    request.workspace = view->configuration->workspaces.front(); // Of public routes.
-    if (!route->isPublic) {
-        if (age > settings.keyRevocationBound - revocationMargin)
-            co_return co_await reject(ResultCode::TableNotReady, 503, wireId, staleRetryAfter);
-        auto key = keyOf(message);
-        auto holder = key ? view->configuration->workspaceByKey.find(*key) : view->configuration->workspaceByKey.end();
-        if (holder == view->configuration->workspaceByKey.end() && key && !provesAbsence)
-            co_return co_await reject(ResultCode::TableNotReady, 503, wireId, staleRetryAfter);
-        if (holder == view->configuration->workspaceByKey.end())
-            co_return co_await reject(ResultCode::WorkspaceUnknown, 401, wireId, std::nullopt);
-        request.workspace = holder->second;
-    }
+    auto identity = identify(*view->configuration, *route, message);
+    if (const auto* refusal = std::get_if<Refusal>(&identity))
+        co_return co_await reject(refusal->code, refusal->status, wireId, refusal->retryAfter);
+    request.workspace = std::get<WorkspaceId>(identity);
     request.wireId = wireId;
     request.id = m_traffic.uniqueId(wireId);
     request.route = *route;
--- a/src/router/ClientSession.h
+++ b/src/router/ClientSession.h
@@ -41,6 +41,14 @@
     net::awaitable<std::optional<Request>> rejectUnheld(const http::request_header<>&);
     net::awaitable<void> discardRest();
     net::awaitable<bool> serve(Request);
+    struct Refusal {
+        ResultCode code = ResultCode::Ok;
+        unsigned status = 0;
+        std::optional<Duration> retryAfter;
+    };
+    // Returns for which workspace the request is run, or why it is not.
+    std::variant<WorkspaceId, Refusal> identify(
+        const RoutingConfiguration&, const RouteSettings&, const Request&) const;
     net::awaitable<bool> reject(ResultCode, unsigned status, std::string wireId, std::optional<Duration> retryAfter);
     void watchCaller(const std::shared_ptr<Exchange>&);
     bool keepsConnection();
--- a/test/router/ClientSessionTest.cpp
+++ b/test/router/ClientSessionTest.cpp
@@ -196,3 +196,155 @@
     auto isAdopted = [&] { return statusOf(router.send(requestText("GET", "/cards/7", "r1"))) == 401; };
     CHECK(RouterFixture::eventually(isAdopted));
 }
+
+namespace {
+
+RoutingConfiguration publicConfiguration(uint64_t version, bool isPublic)
+{
+    auto configuration = sampleConfiguration();
+    configuration.version = version;
+    for (auto& it : configuration.routes)
+        it.isPublic = isPublic;
+    return configuration;
+}
+
+void adoptConfiguration(RouterFixture& router, RoutingConfiguration configuration)
+{
+    auto version = configuration.version;
+    {
+        std::lock_guard lock(router.platform().mutex);
+        router.platform().configuration = std::make_shared<const RoutingConfiguration>(std::move(configuration));
+    }
+    auto isAdopted = [&] {
+        std::promise<uint64_t> seen;
+        router.runOnTraffic([&] { seen.set_value(router.traffic().view()->configuration->version); });
+        return seen.get_future().get() == version;
+    };
+    REQUIRE(RouterFixture::eventually(isAdopted));
+}
+
+// A request on a connection that is kept, with the header lines of the caller.
+std::string keptRequest(const std::string& path, const std::string& id, const std::string& head)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + id
+        + "\r\nX-Deadline-Ms: 4000\r\nX-Tokens: 20,10\r\n" + head + "\r\n";
+}
+
+} // namespace
+
+// UNASKED: on a public route, a request with a tenant's key ran for a tenant that no configuration names.
+TEST_CASE("a request on a public route runs for the tenant that holds its key, and for none without a key")
+{
+    struct Row {
+        std::string head; // What the caller sends.
+        int publicStatus; // On a public route, and on another one.
+        int otherStatus;
+        std::string workspace; // That the worker is told; empty: none.
+    };
+    const std::vector<Row> rows {
+        { "Authorization: Bearer key-1\r\n", 200, 200, "school" },
+        { "Authorization: bearer key-1\r\n", 200, 200, "school" },
+        { "Authorization: Bearer key-1\r\nX-Workspace: other\r\n", 200, 200, "school" },
+        { "Authorization: Bearer key-of-public\r\n", 200, 200, "public" },
+        { "Authorization: Bearer key-of-nobody\r\n", 401, 401, "" },
+        { "Authorization: Bearer key-of-nobody\r\nX-Workspace: school\r\n", 401, 401, "" },
+        { "", 200, 401, "" },
+        { "X-Workspace: school\r\n", 200, 401, "" },
+        { "Authorization: Basic a2V5LTE6\r\n", 200, 401, "" },
+        { "Authorization: Bearer \r\n", 200, 401, "" },
+    };
+    ScriptedServer server([](const std::string& request) { return ownAnswer(request, "200 OK", "ok"); });
+    RouterFixture router;
+    router.start({ endpointAt("c1", "catalogue", server.address()) });
+    uint64_t version = 10;
+    // The route becomes public and needs a key again.
+    for (bool isPublic : { true, false, true }) {
+        auto configuration = publicConfiguration(++version, isPublic);
+        // A tenant may have any name.
+        configuration.workspaces.emplace_back("public");
+        configuration.workspaceByKey.emplace("key-of-public", WorkspaceId("public"));
+        adoptConfiguration(router, std::move(configuration));
+        for (const auto& row : rows) {
+            CAPTURE(isPublic);
+            CAPTURE(row.head);
+            auto connections = server.connections();
+            auto answer = router.send(keptRequest("/cards/1", "r1", row.head + "Connection: close\r\n"));
+            CHECK(statusOf(answer) == (isPublic ? row.publicStatus : row.otherStatus));
+            if (statusOf(answer) != 200) {
+                CHECK(server.connections() == connections);
+                continue;
+            }
+            CHECK(headerOf(server.lastRequest(), "X-Workspace") == row.workspace);
+            CHECK(server.lastRequest().find("key-") == std::string::npos);
+            CHECK(headerOf(server.lastRequest(), "Authorization").empty());
+        }
+    }
+}
+
+TEST_CASE("a connection that is kept while a route becomes public serves each request for the tenant of its key")
+{
+    std::mutex mutex;
+    std::vector<std::string> workspaces;
+    ScriptedServer server([&](const std::string& request) {
+        std::lock_guard lock(mutex);
+        workspaces.push_back(headerOf(request, "X-Workspace"));
+        return ownAnswer(request, "200 OK", "ok");
+    });
+    RouterFixture router;
+    router.start({ endpointAt("c1", "catalogue", server.address()) });
+    auto peer = router::parseAddress(router.routerSettings().frontAddress);
+    REQUIRE(peer);
+    router::net::io_context io;
+    router::tcp::socket socket(io);
+    socket.connect(*peer);
+    auto exchange = [&](const std::string& head) {
+        router::net::write(socket, router::net::buffer(keptRequest("/cards/1", "r1", head)));
+        router::beast::flat_buffer buf;
+        router::http::response<router::http::string_body> answer;
+        router::http::read(socket, buf, answer);
+        return answer.result_int();
+    };
+    const std::string key = "Authorization: Bearer key-1\r\n";
+    uint64_t version = 10;
+    for (bool isPublic : { false, true, false }) {
+        adoptConfiguration(router, publicConfiguration(++version, isPublic));
+        CHECK(exchange(key) == 200);
+        CHECK(exchange({}) == (isPublic ? 200U : 401U));
+    }
+    std::lock_guard lock(mutex);
+    CHECK(workspaces == std::vector<std::string> { "school", "school", "", "school" });
+}
+
+// Without tenants there are no keys, so that what looks like one is none.
+TEST_CASE("a public route of a configuration without tenants serves requests with and without a key")
+{
+    ScriptedServer server([](const std::string& request) { return ownAnswer(request, "200 OK", "ok"); });
+    RouterFixture router;
+    auto configuration = publicConfiguration(3, true);
+    configuration.workspaces.resize(1);
+    configuration.workspaceByKey.clear();
+    router.platform().configuration = std::make_shared<const RoutingConfiguration>(configuration);
+    router.start({ endpointAt("c1", "catalogue", server.address()) });
+    for (const char* key : { "Authorization: Bearer key-1\r\n", "" }) {
+        CAPTURE(key);
+        auto answer = router.send(keptRequest("/cards/1", "r1", std::string(key) + "Connection: close\r\n"));
+        CHECK(statusOf(answer) == 200);
+        CHECK(headerOf(server.lastRequest(), "X-Workspace").empty());
+    }
+}
+
+// CONFIG (strictRevoke): the key may have been taken away meanwhile.
+TEST_CASE("a daemon whose configuration is too old checks no key on a public route, and serves requests without one")
+{
+    ScriptedServer server([](const std::string& request) { return ownAnswer(request, "200 OK", "ok"); });
+    RouterFixture router;
+    router.platform().configuration = std::make_shared<const RoutingConfiguration>(publicConfiguration(3, true));
+    router.start({ endpointAt("c1", "catalogue", server.address()) });
+    {
+        std::lock_guard lock(router.platform().mutex);
+        router.platform().isUp = false;
+    }
+    CHECK(
+        RouterFixture::eventually([&] { return statusOf(router.send(requestText("GET", "/cards/1", "r1"))) == 503; }));
+    CHECK(statusOf(router.send(keptRequest("/cards/1", "r2", "Connection: close\r\n"))) == 200);
+}
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -61,7 +61,7 @@
     ModelLayout model;
     model.layers = 8;
     configuration.services = { { "catalogue", std::nullopt }, { "assistant", model } };
-    configuration.workspaces = { WorkspaceId("public"), WorkspaceId("school") };
+    configuration.workspaces = { noWorkspace, WorkspaceId("school") };
     configuration.workspaceByKey = { { "key-1", WorkspaceId("school") } };
     configuration.limits.maxHeaderBytes = 4096;
     configuration.limits.maxBodyBytes = 10000;
