Order an engine only while its entry and its model are as they were planned for

Cause: LayoutPlanner::carryOut() ordered by the entry and the model that the plan had been made with.

Change: the order is sent only if the newest list has the same engine, not leaving, and the layers fit its memory by the newest configuration. placement-order logs what tells the open hypotheses apart: instance, service, accelerator, address, the start that was reported, and the ages of report and list.

--- a/src/router/LayoutPlanner.cpp
+++ b/src/router/LayoutPlanner.cpp
@@ -169,6 +169,21 @@
     }
 }
 
+bool LayoutPlanner::isStillDue(const EndpointSighting& planned, LayerRange layers) const
+{
+    const auto* listed = m_directory.find(planned.endpoint);
+    if (!listed || listed->isLeaving || listed->service != planned.service || listed->accelerator != planned.accelerator
+        || listed->address != planned.address)
+        return false;
+    const auto* service = m_configuration->findService(planned.service);
+    if (!service || !service->model)
+        return false;
+    const auto& model = *service->model;
+    auto kind = model.kinds.find(planned.accelerator);
+    return kind != model.kinds.end() && layers.end <= model.layers
+        && layers.count() * model.layerMb <= kind->second.memoryMb;
+}
+
 // Orders one engine, on the condition that it has accepted no order since it was asked.
 net::awaitable<void> LayoutPlanner::carryOut(EndpointSighting endpoint, LayerRange layers, ModelLayout model)
 {
@@ -177,8 +192,13 @@
     auto note = [&](const char* outcome, Duration until) {
         m_ordered[endpoint.endpoint] = { layers, m_clock.now() + until, false };
         m_journal.write(LineKind::Info, "placement-order",
-            { { "endpoint", endpoint.endpoint.value() }, { "from", layers.first }, { "to", layers.end },
-                { "accepted_orders", report ? report->acceptedOrders : 0 }, { "outcome", outcome } });
+            { { "endpoint", endpoint.endpoint.value() }, { "instance", endpoint.instance },
+                { "service", endpoint.service }, { "accelerator", endpoint.accelerator },
+                { "address", endpoint.address }, { "from", layers.first }, { "to", layers.end },
+                { "accepted_orders", report ? report->acceptedOrders : 0 },
+                { "reported_start", report ? report->born : std::string() },
+                { "report_age_ms", millisecondsOf(m_clock.now() - now) },
+                { "list_age_ms", millisecondsOf(m_clock.now() - m_directory.updatedAt()) }, { "outcome", outcome } });
     };
     if (!report)
         co_return note("no report", failedOrderPause);
@@ -191,6 +211,8 @@
         m_ordered[endpoint.endpoint] = { report->layers, m_clock.now() + busyPause, true };
         co_return;
     }
+    if (!isStillDue(endpoint, layers))
+        co_return note("entry or model has changed", failedOrderPause);
     if (!m_lease.isHolder(now))
         co_return note("lease lost", failedOrderPause);
     // The process may be suspended until the order is written.
--- a/src/router/LayoutPlanner.h
+++ b/src/router/LayoutPlanner.h
@@ -40,6 +40,9 @@
     bool isOfFormerEra(Instant now);
     net::awaitable<void> plan(const std::string& service, ModelLayout);
     net::awaitable<void> carryOut(EndpointSighting, LayerRange, ModelLayout);
+    // False when the engine's entry or its model has changed since the order was planned, so that the engine may not
+    // hold these layers.
+    bool isStillDue(const EndpointSighting& planned, LayerRange) const;
     std::vector<PlacedEngine> enginesOf(const std::string& service, Instant now);
     bool isListSettled(Instant now);
 
