Let the server of a memory test announce that it closes its connections

The last request of "a request whose body the memory cannot hold [...]" got 502 once, under load: the stand-in closes each connection behind its answer and did not say so, and the router had sent the request before it saw the end. The answer now carries Connection: close.

--- a/test/router/MemoryBudgetTest.cpp
+++ b/test/router/MemoryBudgetTest.cpp
@@ -47,7 +47,8 @@
     constexpr int requests = 16;
     ScriptedServer server([](const std::string& request) {
         std::this_thread::sleep_for(200ms);
-        return ownAnswer(request, "200 OK", "ok");
+        // The server closes each connection, and a request that is sent meanwhile is not repeated.
+        return ownAnswer(request, "200 OK", "ok", "X-Signature: s\r\nConnection: close\r\n");
     });
     RouterFixture router("host-1", 0, mostBytes);
     auto endpoint = endpointAt("c1", "catalogue", server.address());
