--- a/test/router/LayoutPlannerTest.cpp
+++ b/test/router/LayoutPlannerTest.cpp
@@ -110,7 +110,7 @@
     }
     void adopt(std::shared_ptr<const RoutingConfiguration> configuration) { m_planner.adopt(std::move(configuration)); }
     // Updates the list as the platform's next answer does.
-    void list(std::vector<EndpointSighting> endpoints) { m_directory.update(m_clock.now(), endpoints); }
+    void list(const std::vector<EndpointSighting>& endpoints) { m_directory.update(m_clock.now(), endpoints); }
     bool hasLogged(const std::string& text) const
     {
         std::string all(1 << 16, '\0');
