--- a/test/platform/WorkerControlTest.cpp
+++ b/test/platform/WorkerControlTest.cpp
@@ -2,10 +2,10 @@
 
 #include "platform/Platform.h"
 #include "router/BootClock.h"
+#include "support/LogFile.h"
 #include "support/ScriptedServer.h"
 
 #include <doctest/doctest.h>
-#include <fcntl.h>
 
 using namespace jacinthspindle;
 using namespace std::chrono_literals;
@@ -57,8 +57,8 @@
 
     router::net::io_context io(1);
     router::BootClock clock;
-    int sink = open("/dev/null", O_WRONLY | O_CLOEXEC);
-    router::Journal journal(clock, "host-1", sink);
+    test::LogFile log;
+    router::Journal journal(clock, "host-1", log.descriptor());
     platform::StoreEra era;
     platform::WorkerControl control(io.get_executor());
     platform::StoreEndpointSource endpoints(io.get_executor(), journal, era, server.address());
@@ -84,5 +84,4 @@
     router::net::co_spawn(io, callAll(), router::net::detached);
     io.run();
     CHECK(isFinished);
-    close(sink);
 }
--- a/test/router/EventLoopTest.cpp
+++ b/test/router/EventLoopTest.cpp
@@ -13,12 +13,10 @@
 class LoopFixture {
 public:
     LoopFixture()
-        : m_file(std::tmpfile())
-        , m_journal(m_clock, "host-1", fileno(m_file))
+        : m_journal(m_clock, "host-1", m_log.descriptor())
         , loop(m_journal, metrics)
     {
     }
-    ~LoopFixture() { std::fclose(m_file); }
 
     void runFor(std::chrono::milliseconds time)
     {
@@ -26,17 +24,11 @@
         timer.async_wait([this](const ErrorCode&) { loop.stop(); });
         loop.run();
     }
-    bool hasLogged(const std::string& text) const
-    {
-        std::string all(1 << 16, '\0');
-        auto n = pread(fileno(m_file), all.data(), all.size(), 0);
-        all.resize(static_cast<size_t>(std::max<ssize_t>(n, 0)));
-        return all.find(text) != std::string::npos;
-    }
+    bool hasLogged(const std::string& text) const { return !m_log.lines(text).empty(); }
 
 private:
     BootClock m_clock;
-    std::FILE* m_file;
+    LogFile m_log;
     Journal m_journal;
 
 public:
@@ -110,15 +102,14 @@
         CAPTURE(fail == Failing(throwAfter));
         LoopFixture fixture;
         int begun = 0;
-        int failures = 0;
         auto begin = [&]() -> net::awaitable<void> {
             ++begun;
             return fail(fixture.loop.io(), begun < 3 ? 1ms : 10000ms);
         };
-        fixture.loop.keepRunning("lasting", begin, [&] { ++failures; });
+        fixture.loop.keepRunning("lasting", begin);
         fixture.runFor(EventLoop::restartPause * 4);
         CHECK(begun == 3);
-        CHECK(failures == 2);
+        CHECK(fixture.metrics.value(daemon::Counter::TasksFailed) == 2);
     }
 }
 
--- a/test/router/LayoutPlannerTest.cpp
+++ b/test/router/LayoutPlannerTest.cpp
@@ -2,11 +2,10 @@
 
 #include "router/LayoutPlanner.h"
 #include "router/BootClock.h"
+#include "support/LogFile.h"
 
-#include <cstdio>
 #include <doctest/doctest.h>
 #include <functional>
-#include <unistd.h>
 
 using namespace jacinthspindle;
 using namespace jacinthspindle::router;
@@ -90,15 +89,13 @@
 public:
     explicit PlannerFixture(EngineAtAddress& control)
         : m_control(control)
-        , m_log(std::tmpfile())
-        , m_journal(m_clock, "host-1", fileno(m_log))
+        , m_journal(m_clock, "host-1", m_log.descriptor())
         , m_loop(m_journal, m_metrics)
         , m_planner(m_loop, m_clock, m_journal, m_lease, control, m_directory, leaseConfig())
     {
         m_directory.update(m_clock.now(), { listedEngine() });
         adopt(configurationOfModel());
     }
-    ~PlannerFixture() { std::fclose(m_log); }
 
     // Runs until the engine at the address was asked, and what follows from it was done.
     void run()
@@ -111,13 +108,7 @@
     void adopt(std::shared_ptr<const RoutingConfiguration> configuration) { m_planner.adopt(std::move(configuration)); }
     // Updates the list as the platform's next answer does.
     void list(const std::vector<EndpointSighting>& endpoints) { m_directory.update(m_clock.now(), endpoints); }
-    bool hasLogged(const std::string& text) const
-    {
-        std::string all(1 << 16, '\0');
-        auto n = pread(fileno(m_log), all.data(), all.size(), 0);
-        all.resize(static_cast<size_t>(std::max<ssize_t>(n, 0)));
-        return all.find(text) != std::string::npos;
-    }
+    bool hasLogged(const std::string& text) const { return !m_log.lines(text).empty(); }
 
 private:
     static PlannerLeaseConfig leaseConfig()
@@ -129,7 +120,7 @@
 
     EngineAtAddress& m_control;
     BootClock m_clock;
-    std::FILE* m_log;
+    test::LogFile m_log;
     Journal m_journal;
     daemon::Metrics m_metrics;
     EndpointDirectory m_directory;
--- a/test/support/RouterFixture.h
+++ b/test/support/RouterFixture.h
@@ -4,15 +4,14 @@
 
 #include "router/BootClock.h"
 #include "router/Control.h"
+#include "support/LogFile.h"
 #include "support/ScriptedServer.h"
 
 #include <condition_variable>
-#include <cstdio>
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <future>
 #include <mutex>
-#include <sstream>
 #include <thread>
 
 namespace jacinthspindle::test {
@@ -266,8 +265,7 @@
     // linkMbps: of its host, for other daemons; 0: it neither asks nor answers others.
     explicit RouterFixture(
         const char* host = "host-1", uint32_t linkMbps = 0, size_t mostHeldBytes = size_t { 32 } << 20)
-        : m_log(std::tmpfile())
-        , m_journal(m_clock, host, fileno(m_log))
+        : m_journal(m_clock, host, m_log.descriptor())
         , m_controlLoop(m_journal, m_metrics)
         , m_trafficLoop(m_journal, m_metrics)
         , m_configurations(m_state, m_clock, m_controlLoop.io())
@@ -293,11 +291,7 @@
         m_state.configuration = std::make_shared<const RoutingConfiguration>(sampleConfiguration());
     }
 
-    ~RouterFixture()
-    {
-        stop();
-        std::fclose(m_log);
-    }
+    ~RouterFixture() { stop(); }
 
     void stop()
     {
@@ -343,21 +337,7 @@
     }
 
     // Log lines with this text.
-    std::vector<std::string> logged(const std::string& text) const
-    {
-        std::string all;
-        char buf[4096];
-        ssize_t n = 0;
-        while ((n = pread(fileno(m_log), buf, sizeof buf, static_cast<off_t>(all.size()))) > 0)
-            all.append(buf, static_cast<size_t>(n));
-        std::vector<std::string> lines;
-        std::istringstream stream(all);
-        for (std::string line; std::getline(stream, line);) {
-            if (line.find(text) != std::string::npos)
-                lines.push_back(line);
-        }
-        return lines;
-    }
+    std::vector<std::string> logged(const std::string& text) const { return m_log.lines(text); }
 
     // Runs on the traffic thread, behind what it has been given so far.
     void runOnTraffic(std::function<void()> task) { router::net::post(m_trafficLoop.io(), std::move(task)); }
@@ -408,7 +388,7 @@
     }
 
     router::BootClock m_clock;
-    std::FILE* m_log; // Read by tests; deleted when it is closed.
+    LogFile m_log;
     router::Journal m_journal;
     daemon::Metrics m_metrics;
     PlatformState m_state;
