Drop a parameter of lasting tasks that no caller used, and an allocation for each task

EventLoop::keepRunning() took a function for failures that only a test passed: lasting tasks share no state that has to be put right. The guard of a task made the text of a failure when the task began, which is an allocation for each connection and each report; it is made when the task fails now. What is logged and counted is the same.

spindlerouter_test 149 of 149, spindleplatform_test 18 of 18, jacinthspindle_fleet_test 4 of 4; formatter clean, linter clean on the changed sources.

--- a/src/router/EventLoop.cpp
+++ b/src/router/EventLoop.cpp
@@ -17,7 +17,7 @@
     ~FailureGuard()
     {
         if (!m_isDismissed && m_loop.m_isRunning)
-            m_loop.noteFailure(m_name, m_reason, m_onFailure);
+            m_loop.noteFailure(m_name, m_reason.empty() ? "destroyed by a failed operation" : m_reason, m_onFailure);
     }
     FailureGuard(const FailureGuard&) = delete;
     FailureGuard& operator=(const FailureGuard&) = delete;
@@ -29,7 +29,7 @@
     EventLoop& m_loop;
     const char* m_name;
     std::function<void()> m_onFailure;
-    std::string m_reason = "destroyed by a failed operation";
+    std::string m_reason; // Empty unless the coroutine itself was left by an exception.
     bool m_isDismissed = false;
 };
 
@@ -58,15 +58,11 @@
     net::co_spawn(m_io, supervise(name, std::move(task), std::move(onFailure)), net::detached);
 }
 
-void EventLoop::keepRunning(const char* name, std::function<Task()> begin, std::function<void()> onFailure)
+void EventLoop::keepRunning(const char* name, std::function<Task()> begin)
 {
     auto task = begin();
-    auto renew = [this, name, begin = std::move(begin), onFailure = std::move(onFailure)] {
-        if (onFailure)
-            onFailure();
-        net::co_spawn(m_io, restart(name, begin, onFailure), net::detached);
-    };
-    spawn(name, std::move(task), std::move(renew));
+    spawn(name, std::move(task),
+        [this, name, begin = std::move(begin)] { net::co_spawn(m_io, restart(name, begin), net::detached); });
 }
 
 EventLoop::Task EventLoop::supervise(const char* name, Task task, std::function<void()> onFailure)
@@ -80,12 +76,12 @@
     }
 }
 
-net::awaitable<void> EventLoop::restart(const char* name, std::function<Task()> begin, std::function<void()> onFailure)
+EventLoop::Task EventLoop::restart(const char* name, std::function<Task()> begin)
 {
     net::steady_timer timer(m_io, restartPause);
     ErrorCode ec;
     co_await timer.async_wait(awaitInto(ec));
-    keepRunning(name, std::move(begin), std::move(onFailure));
+    keepRunning(name, std::move(begin));
 }
 
 void EventLoop::noteFailure(const char* name, const std::string& reason, const std::function<void()>& onFailure)
--- a/src/router/EventLoop.h
+++ b/src/router/EventLoop.h
@@ -3,11 +3,10 @@
 
 #pragma once
 
+#include "daemon/Metrics.h"
 #include "router/Journal.h"
 #include "router/Net.h"
 
-#include "daemon/Metrics.h"
-
 #include <functional>
 
 namespace jacinthspindle::router {
@@ -32,14 +31,14 @@
     // Runs a task once. When it fails, its objects are destroyed and onFailure then puts the state right that others
     // share with it; onFailure must not throw. name: a string literal, for the log.
     void spawn(const char* name, Task, std::function<void()> onFailure = {});
-    // Runs a task that lasts as long as the loop. When it fails, onFailure is called and the task begins anew.
-    void keepRunning(const char* name, std::function<Task()> begin, std::function<void()> onFailure = {});
+    // Runs a task that lasts as long as the loop, and begins it anew when it fails.
+    void keepRunning(const char* name, std::function<Task()> begin);
 
 private:
     class FailureGuard;
 
     Task supervise(const char* name, Task, std::function<void()> onFailure);
-    net::awaitable<void> restart(const char* name, std::function<Task()> begin, std::function<void()> onFailure);
+    Task restart(const char* name, std::function<Task()> begin);
     void noteFailure(const char* name, const std::string& reason, const std::function<void()>& onFailure);
 
     Journal& m_journal;
