--- a/review/standins-3/World.cpp
+++ b/review/standins-3/World.cpp
@@ -100,6 +100,14 @@
     m_change.notify_all();
 }
 
+uint64_t Store::awaitRead(const std::string& table, Clock::time_point until)
+{
+    std::unique_lock lock(m_mutex);
+    auto before = m_reads[table];
+    m_read.wait_until(lock, until, [&] { return m_reads[table] != before; });
+    return m_reads[table];
+}
+
 void Store::serve(int fd)
 {
     Reader reader(fd);
@@ -109,7 +117,7 @@
         auto query = queryOf(target);
         std::pair<std::string, std::string> answer { "404 Not Found", "{}" };
         if (target.starts_with("/jacinthspindle/rows-get"))
-            answer = { "200 OK", rows(query, 0) };
+            answer = { "200 OK", read(query) };
         else if (target.starts_with("/jacinthspindle/rows-feed"))
             answer = { "200 OK", feed(query) };
         else if (target.starts_with("/jacinthspindle/rows-tx"))
@@ -120,6 +128,15 @@
     }
 }
 
+std::string Store::read(const std::map<std::string, std::string>& query)
+{
+    auto text = rows(query, 0);
+    std::lock_guard lock(m_mutex);
+    ++m_reads[query.at("table")];
+    m_read.notify_all();
+    return text;
+}
+
 std::string Store::rows(std::map<std::string, std::string> query, uint64_t since)
 {
     std::lock_guard lock(m_mutex);
@@ -217,6 +234,8 @@
     while (!m_world.isOver()) {
         std::this_thread::sleep_for(milliseconds(20));
         auto silence = Clock::now() - m_beatAt;
+        if (m_isWithdrawn)
+            continue;
         if (!m_isCut && silence >= heartbeat)
             writeRow();
         else if (m_isListed && silence >= 3 * heartbeat) {
@@ -230,8 +249,8 @@
 void Worker::writeRow()
 {
     Json row { { "service", m_options.service }, { "address", m_address }, { "zone", "za" }, { "version", "v1" },
-        { "slots", m_options.slots }, { "state", "ready" }, { "coldRemainingMs", 0 }, { "sequence", ++m_beats },
-        { "born", m_born } };
+        { "slots", m_options.slots }, { "state", m_isLeaving ? "draining" : "ready" }, { "coldRemainingMs", 0 },
+        { "sequence", ++m_beats }, { "born", m_born } };
     if (!m_options.kind.empty()) {
         std::lock_guard lock(m_mutex);
         row["routeKind"] = m_options.kind;
@@ -246,6 +265,20 @@
     m_world.store.put("servers", m_options.id, row.dump());
 }
 
+Clock::time_point Worker::leave()
+{
+    m_isLeaving = true;
+    writeRow();
+    return Clock::now();
+}
+
+void Worker::withdraw()
+{
+    m_isWithdrawn = true;
+    std::this_thread::sleep_for(milliseconds(50));
+    m_world.store.remove("servers", m_options.id);
+}
+
 bool Worker::holds(int from, int to)
 {
     std::lock_guard lock(m_mutex);
--- a/review/standins-3/World.h
+++ b/review/standins-3/World.h
@@ -65,6 +65,8 @@
 public:
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
+    // Returns how often the rows of the table were read; waits for the next read until the moment.
+    uint64_t awaitRead(const std::string& table, Clock::time_point until);
 
 private:
     struct Row {
@@ -75,6 +77,7 @@
     using Key = std::pair<std::string, std::string>; // Table and key.
 
     void serve(int fd) override;
+    std::string read(const std::map<std::string, std::string>& query);
     std::string rows(std::map<std::string, std::string> query, uint64_t since);
     std::string feed(const std::map<std::string, std::string>& query);
     std::pair<std::string, std::string> commit(const std::string& body);
@@ -82,6 +85,8 @@
     std::mutex m_mutex;
     std::condition_variable m_change;
     std::map<Key, Row> m_rows;
+    std::map<std::string, uint64_t> m_reads; // By table.
+    std::condition_variable m_read;
     uint64_t m_version = 1;
     Clock::time_point m_begin = Clock::now();
 };
@@ -106,6 +111,10 @@
     bool start(const std::string& address);
     // While it is cut off, it gets and sends nothing: requests, answers and heartbeats.
     void setCut(bool isCut);
+    // Reports that it leaves; it goes on serving. Returns when the store has accepted the report.
+    Clock::time_point leave();
+    // Its row goes, and it writes no other one.
+    void withdraw();
     bool isCut() const { return m_isCut; }
     bool holds(int from, int to);
     std::string layersText();
@@ -138,6 +147,8 @@
     uint64_t m_beats = 0;
     Clock::time_point m_beatAt = Clock::now();
     bool m_isListed = false;
+    std::atomic<bool> m_isLeaving { false };
+    std::atomic<bool> m_isWithdrawn { false };
     std::map<std::string, std::string> m_stalled; // Requests, and the address that does not answer.
     std::atomic<int> m_running { 0 };
     friend class World;
