--- a/review/standins-3/World.cpp
+++ b/review/standins-3/World.cpp
@@ -71,8 +71,14 @@
         while (true) {
             pollfd it { listener, POLLIN, 0 };
             poll(&it, 1, -1);
-            beforeAccept();
+            bool wasCut = beforeAccept();
             int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+            while (wasCut && fd >= 0) {
+                resetOnClose(fd);
+                close(fd);
+                pollfd next { listener, POLLIN, 0 };
+                fd = poll(&next, 1, 0) > 0 ? accept4(listener, nullptr, nullptr, SOCK_CLOEXEC) : -1;
+            }
             if (fd < 0)
                 continue;
             int on = 1;
@@ -222,10 +228,12 @@
     m_change.notify_all();
 }
 
-void Worker::awaitPath()
+bool Worker::awaitPath()
 {
     std::unique_lock lock(m_mutex);
+    bool hadToWait = m_isCut;
     m_change.wait(lock, [this] { return !m_isCut; });
+    return hadToWait;
 }
 
 // Writes the row every heartbeat; after three without one the store drops it, as the platform does.
--- a/review/standins-3/World.h
+++ b/review/standins-3/World.h
@@ -57,8 +57,9 @@
 
 protected:
     virtual void serve(int fd) = 0;
-    // Called before a connection is accepted; may wait.
-    virtual void beforeAccept() { }
+    // Called before a connection is accepted; may wait. True: it waited for a path, and what has connected meanwhile is
+    // dropped, since no connection can be made over a cut link.
+    virtual bool beforeAccept() { return false; }
 };
 
 class Store final : public Server {
@@ -124,8 +125,9 @@
 
 private:
     void serve(int fd) override;
-    void beforeAccept() override { awaitPath(); }
-    void awaitPath();
+    bool beforeAccept() override { return awaitPath(); }
+    // Returns whether it had to wait.
+    bool awaitPath();
     void beat();
     void writeRow();
     std::string report();
