Give a source up by the age of what it told, so that changes keep their bound behind a frozen reader

Cause: the list may be 0.9 s old at the freeze, a follower gave its source up 0.9 s after its question whatever the age of what it knew, and searched 0.3 s and more for another one. Three files held these times, and nothing added them up. Change: FactTiming divides the bound as one sum, computed from the settings. A follower gives its source up once its facts are 1.3 s old. Answers tell how long the source waited with them, so that the age is known to the time of one message. A list is as old as the question for it. Shorter bounds read more often; one that can't be kept is logged.

--- a/include/spindlecore/spindlecore.h
+++ b/include/spindlecore/spindlecore.h
@@ -9,6 +9,7 @@
 #include "spindlecore/EndpointPauses.h" // IWYU pragma: export
 #include "spindlecore/EventSplitter.h" // IWYU pragma: export
 #include "spindlecore/FactSourceSelector.h" // IWYU pragma: export
+#include "spindlecore/FactTiming.h" // IWYU pragma: export
 #include "spindlecore/LayerPlacement.h" // IWYU pragma: export
 #include "spindlecore/LimitShares.h" // IWYU pragma: export
 #include "spindlecore/LoadAggregator.h" // IWYU pragma: export
--- a/src/router/Control.cpp
+++ b/src/router/Control.cpp
@@ -12,9 +12,6 @@
 
     using std::chrono::milliseconds;
 
-    // A leaving endpoint receives nothing later than 2 s after it said so. The rest of that time is for the read, its
-    // answer, other daemons that learn it from this one, and the time in which they notice that this one froze.
-    constexpr milliseconds listInterval { 900 };
     // While there is no configuration or no endpoint yet, so that the layout is made well before the first caller.
     constexpr milliseconds firstListInterval { 250 };
     constexpr milliseconds tickInterval { 100 };
@@ -96,12 +93,17 @@
     , m_partSharing(loop, clock, journal, metrics,
           { settings.host, settings.dataCentre, settings.peerAddress, settings.linkMbps },
           [this] { return m_sharing.listedHosts(); })
+    , m_timing(settings.changeBound)
 {
 }
 
 void Control::start(Traffic& traffic)
 {
     m_traffic = &traffic;
+    if (m_settings.changeBound < FactTiming::minChangeBound)
+        m_journal.write(LineKind::Warning, "change-bound-short",
+            { { "bound_ms", m_settings.changeBound.count() },
+                { "shortest_ms", millisecondsOf(FactTiming::minChangeBound) } });
     m_sharing.start();
     m_partSharing.start(traffic.parts());
     m_loop.keepRunning("configuration", [this] { return followConfiguration(); });
@@ -286,12 +288,13 @@
     version = m_configuration ? m_configuration->version : 0;
     if (version != facts.configurationVersion)
         return false;
-    // The ages were taken after the question was asked, so that these moments are not too late.
-    confirm(askedAt - facts.configurationAge);
-    auto updatedAt = askedAt - facts.endpointsAge;
+    // The ages were taken at this moment or later, so that the times are not too late.
+    auto answeredAt = askedAt + facts.waited.value_or(milliseconds::zero());
+    confirm(answeredAt - facts.configurationAge);
+    auto updatedAt = answeredAt - facts.endpointsAge;
     std::optional<Instant> returnedAt;
     if (facts.returnedSince)
-        returnedAt = askedAt - *facts.returnedSince;
+        returnedAt = answeredAt - *facts.returnedSince;
     if (facts.endpoints)
         adoptEndpoints(m_directory.adopt(updatedAt, *facts.endpoints, returnedAt));
     else if (facts.changes)
@@ -373,15 +376,19 @@
     net::steady_timer timer(m_loop.io());
     while (true) {
         co_await m_sharing.untilReading();
+        // The list may be as old as the question for it.
+        auto askedAt = m_clock.now();
         auto listed = co_await m_ports.endpoints.list();
         noteDependency(m_areEndpointsUp, listed.has_value(), "endpoint-list", m_ports.endpoints.lastReason());
         if (listed)
-            adoptEndpoints(m_directory.update(m_clock.now(), *listed));
+            adoptEndpoints(m_directory.update(askedAt, *listed));
         else
             m_directory.missed();
         m_sharing.recordPlatformRead(FactKind::Endpoints, listed.has_value());
         bool hasSome = listed && !listed->empty();
-        timer.expires_after(!listed ? m_sharing.retryPause() : Duration(hasSome ? listInterval : firstListInterval));
+        timer.expires_after(!listed ? m_sharing.retryPause()
+                : hasSome           ? m_timing.listInterval
+                                    : Duration(firstListInterval));
         ErrorCode ec;
         co_await timer.async_wait(awaitInto(ec));
     }
--- a/src/router/Control.h
+++ b/src/router/Control.h
@@ -103,6 +103,7 @@
     };
     std::map<EndpointId, uint32_t> m_paces; // As the core knows them.
     std::map<EndpointId, HeadLoad> m_headLoad; // Of all data centres; only while this daemon reads the platform.
+    const FactTiming m_timing;
     uint64_t m_revision = 0; // Of the table in the core.
     bool m_areConfigurationsUp = true; // As last logged.
     bool m_areEndpointsUp = true;
--- a/src/router/FactRelay.cpp
+++ b/src/router/FactRelay.cpp
@@ -203,6 +203,8 @@
             facts.changes = decodeChanges(internal::memberOf(json, "changes"));
         if (json.contains("endpoints_digest"))
             facts.endpointsDigest = numberOf<uint64_t>(json, "endpoints_digest");
+        if (json.contains("waited_ms"))
+            facts.waited = ageOf(json, "waited_ms");
         if (json.contains("returned_since_ms"))
             facts.returnedSince = ageOf(json, "returned_since_ms");
         if (json.contains("observations")) {
@@ -306,6 +308,8 @@
     }
     if (facts.endpointsDigest)
         json["endpoints_digest"] = *facts.endpointsDigest;
+    if (facts.waited)
+        json["waited_ms"] = encodeAge(*facts.waited);
     if (facts.returnedSince)
         json["returned_since_ms"] = encodeAge(*facts.returnedSince);
     if (facts.load)
--- a/src/router/FactRelay.h
+++ b/src/router/FactRelay.h
@@ -35,6 +35,8 @@
     bool isWaiting = false;
     uint32_t hosts = 0; // Daemons in the platform's list; 0: unknown.
     uint64_t configurationVersion = 0; // 0: it has none.
+    // From the question to the answer; earlier releases do not tell.
+    std::optional<std::chrono::milliseconds> waited;
     std::chrono::milliseconds configurationAge {}; // When the answer was made.
     std::optional<std::string> configurationDocument; // In the platform's format; only when the asker has another one.
     uint64_t endpointsRevision = 0; // 0: it has no list.
--- a/src/router/FactSharing.cpp
+++ b/src/router/FactSharing.cpp
@@ -15,12 +15,6 @@
     // Daemons that wait for the platform with this one ask again after this time, so that each can test the platform
     // itself at its time.
     constexpr milliseconds longestWaitForPlatform { 200 };
-    // A source without an answer for this long counts as failed. A change of the configuration must be followed within
-    // 2 s, also when the source froze right before it.
-    constexpr milliseconds askTimeout { 900 };
-    // Facts older than this mean that the source has lost the platform: it confirms the configuration each 0.6 s and
-    // reads the endpoints each 0.9 s.
-    constexpr milliseconds longestFactAge { 1200 };
     // At the first start of all hosts they enter themselves within 0.3 s of each other.
     constexpr milliseconds entryTime { 500 };
     constexpr milliseconds registryRetry { 1000 };
@@ -30,10 +24,6 @@
     constexpr milliseconds sourceCheckInterval { 100 };
     // Each daemon of the data centre has told its load after this time: an answer takes 0.5 s at most.
     constexpr milliseconds loadCollectionTime { 700 };
-    // Of the time in which a change must be followed, what passes before a lost source is noticed and what the first
-    // own read takes; the rest is for the search for another source.
-    constexpr milliseconds timeWithoutSource = askTimeout + milliseconds(800);
-    constexpr milliseconds shortestAskTimeout { 100 };
     // Hosts of each data centre that may plan the layout, and the time after which any other reader may.
     constexpr size_t lastingReaders = 2;
     constexpr milliseconds lastingTime { 4000 };
@@ -57,7 +47,8 @@
     , m_port(std::move(port))
     , m_self { settings.host, settings.dataCentre, settings.peerAddress, settings.linkMbps }
     , m_name(std::move(name))
-    , m_sourceSelector(settings.host, settings.dataCentre, settings.changeBound - timeWithoutSource)
+    , m_timing(settings.changeBound)
+    , m_sourceSelector(settings.host, settings.dataCentre, m_timing.searchTime)
     , m_change(loop.io())
     , m_loadPace(settings.linkMbps)
 {
@@ -156,6 +147,8 @@
     m_hasRead = {};
     // Own reads may change the list, so that the source has to send it again.
     m_last.endpointsRevision = 0;
+    if (isReading)
+        m_factsAt.reset();
     m_change.notify();
 }
 
@@ -199,6 +192,8 @@
 {
     auto now = m_clock.now();
     bool isReading = isReadingWell();
+    if (answer != PeerAnswer::Useful)
+        m_factsAt.reset();
     if (answer == PeerAnswer::Failed) {
         m_sourceSelector.recordFailure(now, peer.host);
     } else if (answer == PeerAnswer::Declined || (answer == PeerAnswer::Waiting && isReading)) {
@@ -241,10 +236,8 @@
     question.host = m_self.host;
     question.isReader = isReadingWell();
     question.observation = m_last.observation;
-    Duration timeout = askTimeout;
-    if (auto left = m_sourceSelector.searchTimeLeft(m_clock.now()))
-        timeout = std::clamp<Duration>(*left, shortestAskTimeout, askTimeout);
     auto askedAt = m_clock.now();
+    auto timeout = m_timing.answerTimeout(askedAt, m_factsAt, m_sourceSelector.searchTimeLeft(askedAt));
     auto reply = co_await m_caller->call(
         http::verb::post, encodeQuestion(question), encodeOwnLoad(question), std::chrono::ceil<milliseconds>(timeout));
     std::optional<Facts> facts;
@@ -254,7 +247,8 @@
         m_journal.write(LineKind::Warning, "facts-source-failed",
             { { "source", peer.host.value() }, { "reason", reason },
                 { "configuration_age_ms", facts ? facts->configurationAge.count() : -1 },
-                { "endpoints_age_ms", facts ? facts->endpointsAge.count() : -1 } });
+                { "endpoints_age_ms", facts ? facts->endpointsAge.count() : -1 },
+                { "known_age_ms", m_factsAt ? millisecondsOf(m_clock.now() - *m_factsAt) : -1 } });
         return PeerAnswer::Failed;
     };
     if (!reply)
@@ -263,10 +257,14 @@
         m_metrics.add(daemon::Counter::PeerMessagesRejected);
         co_return fail("status " + std::to_string(reply->status) + " or malformed");
     }
+    if (facts->waited)
+        facts->waited = std::min(*facts->waited, std::chrono::floor<milliseconds>(m_clock.now() - askedAt));
     m_namedReader = HostId(facts->reader);
     if (!facts->isReader)
         co_return facts->isWaiting ? PeerAnswer::Waiting : PeerAnswer::Declined;
-    if (std::max(facts->configurationAge, facts->endpointsAge) > longestFactAge)
+    auto age = std::max(facts->configurationAge, facts->endpointsAge);
+    // Facts that the next answer could not renew in time: the source has lost the platform.
+    if (age + FactTiming::minAnswerTime > m_timing.maxFactAge)
         co_return fail("old facts");
     if (facts->changes && (facts->source != question.source || facts->changes->since != question.endpointsRevision)) {
         m_last.endpointsRevision = 0;
@@ -276,6 +274,8 @@
         co_return fail("facts of no use");
     m_relayedHosts = facts->hosts;
     m_relayedPeers = facts->peers;
+    // Without the time that the source waited, the facts would seem older than they are.
+    m_factsAt = facts->waited ? std::optional(askedAt + *facts->waited - age) : std::nullopt;
     m_last.source = facts->source;
     m_last.news = facts->news;
     m_last.endpointsRevision = facts->endpointsRevision;
@@ -417,7 +417,10 @@
         question->endpointsRevision = 0;
         question->observation = 0;
     }
+    // Measured before the ages are, so that nothing seems younger than it is.
+    auto waited = std::chrono::floor<milliseconds>(m_clock.now() - askedAt);
     auto facts = m_port.tell(*question);
+    facts.waited = waited;
     facts.source = m_name;
     facts.news = m_news;
     facts.isReader = isReader();
--- a/src/router/FactSharing.h
+++ b/src/router/FactSharing.h
@@ -103,6 +103,7 @@
     FactPort m_port;
     const PeerHost m_self;
     const std::string m_name; // Unique per start of this daemon.
+    const FactTiming m_timing;
     FactSourceSelector m_sourceSelector;
     std::vector<PeerHost> m_listedHosts;
     Broadcast m_change;
@@ -125,6 +126,8 @@
     std::string m_sourceAddress; // Of m_source.
     Instant m_readingSince {}; // Valid while m_isReading.
     FactQuestion m_last; // Source, news and revision of the last answer.
+    // When the platform vouched for the facts of the last answer; empty when it was of no use, or this is unknown.
+    std::optional<Instant> m_factsAt;
     Instant m_wholeListAt {}; // When the source last sent the whole list of endpoints.
 };
 
--- a/src/routerd/Main.cpp
+++ b/src/routerd/Main.cpp
@@ -103,7 +103,8 @@
         , m_journal(journal)
         , m_controlLoop(journal, m_metrics)
         , m_trafficLoop(journal, m_metrics)
-        , m_configurations(m_controlLoop.io().get_executor(), clock, journal, m_era, settings.storeAddress)
+        , m_configurations(m_controlLoop.io().get_executor(), clock, journal, m_era, settings.storeAddress,
+              FactTiming(settings.router.changeBound))
         , m_endpoints(m_controlLoop.io().get_executor(), journal, m_era, settings.storeAddress)
         , m_hosts(m_controlLoop.io().get_executor(), m_era, settings.storeAddress)
         , m_lease(m_controlLoop.io().get_executor(), m_era, settings.storeAddress)
--- a/test/platform/WorkerControlTest.cpp
+++ b/test/platform/WorkerControlTest.cpp
@@ -62,7 +62,8 @@
     platform::StoreEra era;
     platform::WorkerControl control(io.get_executor());
     platform::StoreEndpointSource endpoints(io.get_executor(), journal, era, server.address());
-    platform::StoreConfigurationSource configurations(io.get_executor(), clock, journal, era, server.address());
+    platform::StoreConfigurationSource configurations(
+        io.get_executor(), clock, journal, era, server.address(), FactTiming(2000ms));
     platform::StoreHosts hosts(io.get_executor(), era, server.address());
     platform::StoreLease lease(io.get_executor(), era, server.address());
     bool isFinished = false;
--- a/test/router/FactRelayTest.cpp
+++ b/test/router/FactRelayTest.cpp
@@ -19,6 +19,7 @@
     facts.isReader = true;
     facts.hosts = 13;
     facts.configurationVersion = 9;
+    facts.waited = 120ms;
     facts.configurationAge = 340ms;
     facts.configurationDocument = R"({"version":9,"text":"é\n"})";
     facts.endpointsRevision = 4;
@@ -127,6 +128,7 @@
                       R"("returned_since_ms":1500,"source":"host-1/17"})");
     REQUIRE(facts);
     auto expected = sampleFacts();
+    expected.waited.reset();
     expected.configurationDocument.reset();
     expected.changes.reset();
     expected.endpointsDigest.reset();
--- a/test/router/FactSharingTest.cpp
+++ b/test/router/FactSharingTest.cpp
@@ -184,6 +184,49 @@
     CHECK(readsOf(follower) > 0);
 }
 
+// DRAIN: followers sent requests to a leaving endpoint while the daemon that had read the list before was frozen.
+TEST_CASE("a daemon follows a change within the bound when its source freezes between two reads of the list")
+{
+    using Clock = std::chrono::steady_clock;
+    constexpr auto listAge = 850ms;
+    std::mutex mutex;
+    std::optional<Clock::time_point> toldAt;
+    ScriptedServer source(
+        [&](const std::string&) {
+            std::lock_guard lock(mutex);
+            if (toldAt)
+                return std::string();
+            toldAt = Clock::now();
+            router::Facts facts;
+            facts.source = "host-1/1";
+            facts.news = 1;
+            facts.isReader = true;
+            facts.hosts = 2;
+            facts.waited = 0ms;
+            facts.configurationVersion = 9;
+            facts.configurationDocument = "9";
+            facts.endpointsRevision = 1;
+            facts.endpoints = { endpointAt("c1", "catalogue", closedAddress()) };
+            facts.endpointsAge = listAge;
+            return httpAnswer("200 OK", encodeFacts(facts), "Connection: close\r\n");
+        },
+        AfterAnswer::Hold);
+    // The search for another source takes its whole time.
+    ScriptedServer silent(std::string(), AfterAnswer::Hold);
+    RouterFixture follower("host-3", 100);
+    follower.platform().hosts = { { HostId("host-1"), DataCentreId("north"), source.address(), 700 },
+        { HostId("host-2"), DataCentreId("north"), silent.address(), 500 }, follower.peer() };
+    setVersion(follower, 9);
+    auto leaving = endpointAt("c1", "catalogue", closedAddress());
+    leaving.isLeaving = true;
+    follower.start({ leaving });
+    REQUIRE(RouterFixture::eventually([&] { return readsOf(follower) > 0; }));
+    std::lock_guard lock(mutex);
+    REQUIRE(toldAt);
+    // The endpoint may have begun to leave right after the source had read the list.
+    CHECK(Clock::now() - *toldAt + listAge < follower.routerSettings().changeBound);
+}
+
 // Each daemon knew its own attempts alone, so that all of them took the busiest engine of the site for an idle one.
 // LOST: such an answer to a question about facts, or to news of parts, ended the daemon that had asked.
 TEST_CASE("a daemon outlives another daemon's answer whose announced length is beyond memory")
