Estimate the time of a call by its route, and test an old estimate by single requests

Cause: canMeetDeadline() took one average over all calls of a service. 5 s of the slow route refused everything with 1 s left. Only served calls correct it, and the way out (half of the estimate while nothing runs) was closed while the slow route was busy. Change: the router names the configuration's route of each request, and the core keeps an estimate for each (RouteEstimate). An estimate without a measurement for 2 s lets one request at a time through, at most each 2 s, and that measurement replaces it. A route begins anew with another service or time-out; its estimate goes 60 s after its last request. Why it works: work of another route no longer counts, and a refusal can't outlast the measurements that it rests on. A full service still refuses by its queue. EventLoopTest names the new kind of input; its checks are the same.

--- a/include/spindlecore/Decisions.h
+++ b/include/spindlecore/Decisions.h
@@ -179,6 +179,14 @@
     JACINTHSPINDLE_FIELDS(self.arrival, self.priority, self.target)
 };
 
+// A request on a route that shares its service with others.
+struct RoutedArrival {
+    RequestArrived arrival;
+    RouteId route; // arrival.route names the service.
+    Duration timeout {}; // Of the route.
+    JACINTHSPINDLE_FIELDS(self.arrival, self.route, self.timeout)
+};
+
 // Demand of one priority on a model, and what its engines get through. In prompt tokens and prompt tokens per second.
 struct PriorityLoad {
     uint8_t priority = 0;
@@ -206,7 +214,7 @@
 using CoreInput = std::variant<RequestArrived, FirstToken, TokensProgressed, AttemptFailed, RequestFinished, CallerGone,
     LoadReported, CacheChanged, EndpointStateReported, TableAdopted, ShareChanged, DrainStarted, Tick,
     RetryReserveChanged, AcceleratorsDeclared, PeersCounted, PaceReported, AttemptStalled, RankedArrival,
-    PressureReported>;
+    PressureReported, RoutedArrival>;
 
 // ---- Decisions.
 
--- a/include/spindlecore/internal/CoreState.h
+++ b/include/spindlecore/internal/CoreState.h
@@ -23,6 +23,23 @@
 // have long prompts of ranked requests; see CoreState::hasLongPrompt().
 constexpr double longRequestTokens = 400;
 
+// What this daemon measured of the requests of one route.
+struct RouteEstimate {
+    // A measurement corrects the average for this long; after that the estimate is tested by a probe.
+    static constexpr Duration validity = std::chrono::milliseconds(2000);
+    // Without a request for this long the estimate is forgotten.
+    static constexpr Duration lifetime = std::chrono::seconds(60);
+
+    Duration timeout {}; // Of the route. With another one the route begins anew.
+    double callSeconds = 0.05; // Average duration of a call to a plain service, in seconds.
+    Instant measuredAt {}; // Of the last call, or of a model's prompt, that corrected an estimate.
+    Instant probedAt {};
+    Instant arrivedAt {}; // Of the last request.
+    uint32_t active = 0; // Admitted requests that wait or run.
+
+    bool isStale(Instant now) const { return now - measuredAt >= validity; }
+};
+
 // The endpoints of one target, version and adapter, with the queue of requests for them.
 struct PoolState {
     RouteRow route; // First route of the pool. Routes with the same kind, target, version, adapter and layers share it.
@@ -37,7 +54,7 @@
     double secondsPerToken = 0; // Average time between tokens, in seconds; 0 before the first measurement.
     double secondsPerPromptToken = 0; // Average time per prompt token, in seconds; 0 before the first measurement.
     double promptTokens = 0; // Average length of the prompts of ranked requests; 0 before the first one.
-    double callSeconds = 0.05; // Average duration of a call to a plain service, in seconds.
+    std::map<RouteId, std::shared_ptr<RouteEstimate>> estimates {}; // Of routes with requests in recent time.
     double shortDemand = 0; // Slot seconds that short requests need per second, averaged.
     double shortDemandSinceTick = 0; // Slot seconds of the short requests that arrived since the last Tick.
     double longThreshold = 0.5; // Uniform in [0, 1); rounds the limit of long requests up or down at random.
@@ -49,7 +66,11 @@
 
 struct ActiveRequest {
     RequestArrived arrival;
+    RouteId route; // That the estimates are kept for.
+    Duration timeout {}; // Of the route.
     std::shared_ptr<PoolState> pool; // Fixed at arrival, so that all attempts use the same version.
+    std::shared_ptr<RouteEstimate> estimate; // Of the route, and its timeout, as they were at arrival.
+    bool isProbe = false; // Admitted although the estimate says that it will be late; see CoreState::mayProbe().
     Instant deadline {};
     Instant arrivedAt {};
     double weight = 1;
@@ -112,6 +133,7 @@
     void apply(Instant, const PaceReported&, Decisions&);
     void apply(Instant, const RankedArrival&, Decisions&);
     void apply(Instant, const PressureReported&, Decisions&);
+    void apply(Instant, const RoutedArrival&, Decisions&);
     void apply(Instant, const DrainStarted&, Decisions&);
     void apply(Instant, const Tick&, Decisions&);
     CoreStatus status() const;
@@ -124,8 +146,10 @@
 
     // Admission.cpp
     ResultCode checkArrival(const RequestArrived&) const;
-    // priority and target: of a ranked request; target is 0 otherwise.
-    void admit(Instant, const RequestArrived&, uint8_t priority, Duration target, Decisions&);
+    // The request has its arrival, and priority, target, route and timeout where its kind of arrival tells them.
+    void admit(Instant, ActiveRequest, Decisions&);
+    static std::shared_ptr<RouteEstimate> findOrAddEstimate(Instant, const ActiveRequest&);
+    static bool mayProbe(Instant, const ActiveRequest&, double wait);
     std::optional<Duration> limitWait(Instant, const ActiveRequest&);
     void chargeLimits(Instant, ActiveRequest&);
     void refuse(Instant, const RequestId&, ResultCode, Duration wait, Decisions&);
@@ -157,6 +181,7 @@
     void releaseSlots(Instant, ActiveRequest&);
     void remove(Requests::iterator);
     void learnFirstToken(Instant, ActiveRequest&);
+    void learnCall(Instant, ActiveRequest&);
     void updateLength(ActiveRequest&, Decisions&);
     void chargeProgress(ActiveRequest&, uint32_t position);
     void raiseStarvedPriorities(Instant, Decisions&);
--- a/src/adapters/TraceText.cpp
+++ b/src/adapters/TraceText.cpp
@@ -72,6 +72,11 @@
             (*this)(it.arrival);
             out << " priority=" << unsigned { it.priority } << " target_ms=" << milliseconds(it.target);
         }
+        void operator()(const RoutedArrival& it) const
+        {
+            (*this)(it.arrival);
+            out << " of_route=" << it.route.value() << " timeout_ms=" << milliseconds(it.timeout);
+        }
         void operator()(const PressureReported& it) const
         {
             out << "pressure, age_ms " << milliseconds(it.age);
--- a/src/core/Admission.cpp
+++ b/src/core/Admission.cpp
@@ -128,7 +128,7 @@
 {
     const auto& pool = *request.pool;
     if (pool.route.kind == RouteKind::Service)
-        return pool.callSeconds;
+        return request.estimate->callSeconds;
     double secondsPerToken = pool.secondsPerToken > 0 ? pool.secondsPerToken : initialSecondsPerToken;
     double secondsPerPromptToken
         = pool.secondsPerPromptToken > 0 ? pool.secondsPerPromptToken : initialSecondsPerPromptToken;
@@ -139,6 +139,8 @@
 // Whether the request is expected to meet its deadline after a further wait, in seconds.
 bool CoreState::canMeetDeadline(Instant now, const ActiveRequest& request, double wait) const
 {
+    if (request.isProbe)
+        return wait <= secondsOf(request.deadline - now);
     const auto& arrival = request.arrival;
     double tokens = std::max(request.expectedTokens,
         m_lengths.quantile(arrival.route, arrival.workspace, admissionLengthQuantile, arrival.maxTokens));
@@ -150,6 +152,26 @@
     return wait + service <= secondsOf(request.deadline - now);
 }
 
+// Whether a request that is expected to be late is admitted as a measurement: only requests that are served correct an
+// estimate, so that without one it could refuse all requests of the route for good, whatever the other routes do.
+bool CoreState::mayProbe(Instant now, const ActiveRequest& request, double wait)
+{
+    const auto& estimate = *request.estimate;
+    bool isDue = estimate.isStale(now) && now - estimate.probedAt >= RouteEstimate::validity;
+    return isDue && !estimate.active && wait <= secondsOf(request.deadline - now);
+}
+
+std::shared_ptr<RouteEstimate> CoreState::findOrAddEstimate(Instant now, const ActiveRequest& request)
+{
+    auto& estimate = request.pool->estimates[request.route];
+    if (!estimate || estimate->timeout != request.timeout) {
+        estimate = std::make_shared<RouteEstimate>();
+        estimate->timeout = request.timeout;
+    }
+    estimate->arrivedAt = now;
+    return estimate;
+}
+
 // Whether the pressure on the model allows the request, which may be raised to the highest priority for it.
 bool CoreState::passPressure(ActiveRequest& request)
 {
@@ -206,59 +228,82 @@
 
 void CoreState::apply(Instant now, const RequestArrived& input, Decisions& decisions)
 {
-    admit(now, input, 0, {}, decisions);
+    ActiveRequest request;
+    request.arrival = input;
+    admit(now, std::move(request), decisions);
 }
 
 void CoreState::apply(Instant now, const RankedArrival& input, Decisions& decisions)
 {
-    admit(now, input.arrival, input.priority, std::max<Duration>(input.target, shortestTarget), decisions);
+    ActiveRequest request;
+    request.arrival = input.arrival;
+    request.target = std::max<Duration>(input.target, shortestTarget);
+    request.ownPriority = input.priority;
+    request.rank = input.priority;
+    admit(now, std::move(request), decisions);
+}
+
+void CoreState::apply(Instant now, const RoutedArrival& input, Decisions& decisions)
+{
+    ActiveRequest request;
+    request.arrival = input.arrival;
+    request.route = input.route;
+    request.timeout = input.timeout;
+    admit(now, std::move(request), decisions);
 }
 
-void CoreState::admit(Instant now, const RequestArrived& input, uint8_t priority, Duration target, Decisions& decisions)
+void CoreState::admit(Instant now, ActiveRequest request, Decisions& decisions)
 {
-    if (m_requests.contains(input.request))
+    auto id = request.arrival.request;
+    if (m_requests.contains(id))
         return;
-    auto code = checkArrival(input);
+    auto code = checkArrival(request.arrival);
     if (code != ResultCode::Ok)
-        return refuse(now, input.request, code, {}, decisions);
-    const auto* route = m_table->findRoute(input.route);
-    ActiveRequest request;
-    request.arrival = input;
-    request.pool = m_poolOfRoute.at(input.route);
+        return refuse(now, id, code, {}, decisions);
+    const auto* route = m_table->findRoute(request.arrival.route);
+    request.pool = m_poolOfRoute.at(request.arrival.route);
+    if (request.route.isEmpty()) {
+        request.route = request.arrival.route;
+        request.timeout = route->deadline;
+    }
     request.arrivedAt = now;
-    request.deadline = now + (input.deadline > Duration::zero() ? input.deadline : Duration(route->deadline));
-    request.weight = m_table->findWorkspace(input.workspace)->weight;
-    request.position = input.firstPosition;
-    request.target = target;
-    request.ownPriority = priority;
-    request.rank = priority;
+    bool hasDeadline = request.arrival.deadline > Duration::zero();
+    request.deadline = now + (hasDeadline ? request.arrival.deadline : Duration(route->deadline));
+    request.weight = m_table->findWorkspace(request.arrival.workspace)->weight;
+    request.position = request.arrival.firstPosition;
     if (!request.arrival.maxTokens || request.arrival.maxTokens > route->maxTokens)
         request.arrival.maxTokens = route->maxTokens;
     estimateLength(request);
     auto& pool = *request.pool;
     refreshPool(pool);
     if (!pool.pool.isCovered)
-        return refuse(now, input.request, ResultCode::NoChain, {}, decisions);
+        return refuse(now, id, ResultCode::NoChain, {}, decisions);
     if (auto wait = limitWait(now, request))
-        return refuse(now, input.request, ResultCode::LimitExceeded, *wait, decisions);
+        return refuse(now, id, ResultCode::LimitExceeded, *wait, decisions);
     if (request.isRanked() && !passPressure(request))
-        return refuse(now, input.request, ResultCode::Overloaded, pool.pressure->retryAfter(priority), decisions);
+        return refuse(now, id, ResultCode::Overloaded, pool.pressure->retryAfter(request.ownPriority), decisions);
+    request.estimate = findOrAddEstimate(now, request);
     request.isLong = request.expectedTokens >= longRequestTokens || (request.isRanked() && hasLongPrompt(request));
     double slotSeconds = serviceSeconds(request, request.expectedTokens);
     if (!request.isLong)
         pool.shortDemandSinceTick += slotSeconds;
     double wait = expectedWait(request);
-    if (wait > maxWait(request, false) || !canMeetDeadline(now, request, wait)) {
+    bool isInTime = canMeetDeadline(now, request, wait);
+    request.isProbe = !isInTime && mayProbe(now, request, wait);
+    if (wait > maxWait(request, false) || !(isInTime || request.isProbe)) {
         auto hint = Duration(std::llround(std::min(wait, 10.0) * 1e9));
-        return refuse(now, input.request, ResultCode::DeadlineUnreachable, hint, decisions);
+        return refuse(now, id, ResultCode::DeadlineUnreachable, hint, decisions);
     }
     if (pool.queued() >= m_config.queueLimit)
-        return refuse(now, input.request, ResultCode::QueueFull, std::chrono::seconds(1), decisions);
+        return refuse(now, id, ResultCode::QueueFull, std::chrono::seconds(1), decisions);
+    if (request.isProbe)
+        request.estimate->probedAt = now;
+    ++request.estimate->active;
     request.rateChargedTokens = request.expectedTokens;
     chargeLimits(now, request);
-    request.queue().push(input.workspace, request.weight, { input.request, slotSeconds, request.isLong });
+    request.queue().push(request.arrival.workspace, request.weight, { id, slotSeconds, request.isLong });
     auto sharedPool = request.pool; // The request is moved into m_requests below.
-    m_requests.emplace(input.request, std::move(request));
+    m_requests.emplace(id, std::move(request));
     dispatchQueued(now, *sharedPool, decisions);
 }
 
--- a/src/core/CoreState.cpp
+++ b/src/core/CoreState.cpp
@@ -166,6 +166,7 @@
     auto limits = m_limits.find(it->second.arrival.workspace);
     if (it->second.isCounted && limits != m_limits.end())
         --limits->second.active;
+    --it->second.estimate->active;
     m_requests.erase(it);
 }
 
@@ -183,6 +184,21 @@
     request->position = request->startPosition + 1;
 }
 
+// Updates the estimates of the route and of its endpoint by a call that has finished.
+void CoreState::learnCall(Instant now, ActiveRequest& request)
+{
+    double seconds = secondsOf(now - request.dispatchedAt);
+    auto& estimate = *request.estimate;
+    // Old measurements say little about the present.
+    if (estimate.isStale(now))
+        estimate.callSeconds = seconds;
+    else
+        updateAverage(estimate.callSeconds, seconds);
+    estimate.measuredAt = now;
+    for (auto index : request.hops)
+        m_model.learnCall(m_endpoints[index], seconds);
+}
+
 // Adapts the endpoints' concurrency limits (additive increase, multiplicative decrease), and updates the estimates of
 // prefix cache hits and prefill time.
 void CoreState::learnFirstToken(Instant now, ActiveRequest& request)
@@ -209,6 +225,7 @@
         return;
     m_model.learnPrefill(m_endpoints, request.hops, request.chain, prompt, seconds - decode);
     updateAverage(request.pool->secondsPerPromptToken, (seconds - decode) / prompt);
+    request.estimate->measuredAt = now;
 }
 
 void CoreState::apply(Instant now, const TokensProgressed& input, Decisions& decisions)
@@ -341,10 +358,7 @@
     for (auto index : request->hops)
         m_endpoints[index].breaker.recordSuccess();
     if (pool->route.kind == RouteKind::Service) {
-        double seconds = secondsOf(now - request->dispatchedAt);
-        updateAverage(pool->callSeconds, seconds);
-        for (auto index : request->hops)
-            m_model.learnCall(m_endpoints[index], seconds);
+        learnCall(now, *request);
     } else {
         m_lengths.learn(arrival.route, arrival.workspace, input.tokens);
         chargeProgress(*request, input.tokens);
@@ -467,6 +481,9 @@
     for (const auto& it : m_pools) {
         auto& pool = *it.second;
         refreshPool(pool);
+        std::erase_if(pool.estimates, [now](const auto& entry) {
+            return !entry.second->active && now - entry.second->arrivedAt >= RouteEstimate::lifetime;
+        });
         pool.gate.updateDaemonCount(now, m_endpoints, pool.pool);
         if (seconds > 0) {
             pool.shortDemand += std::min(1.0, seconds) * (pool.shortDemandSinceTick / seconds - pool.shortDemand);
--- a/src/router/Exchange.cpp
+++ b/src/router/Exchange.cpp
@@ -228,7 +228,7 @@
     if (m_request.rank)
         m_context.postInput(RankedArrival { std::move(arrival), *m_request.rank, m_request.route.targetLatency });
     else
-        m_context.postInput(std::move(arrival));
+        m_context.postInput(RoutedArrival { std::move(arrival), m_request.route.route, m_request.route.timeout });
     auto end = co_await runAttempts();
     m_standby.reset();
     m_returning.reset();
--- a/test/router/EventLoopTest.cpp
+++ b/test/router/EventLoopTest.cpp
@@ -185,7 +185,7 @@
     bool isThrowing = true;
     router.inputHook = [&](const CoreInput& input) {
         bool isMeant
-            = isSent ? std::holds_alternative<RequestFinished>(input) : std::holds_alternative<RequestArrived>(input);
+            = isSent ? std::holds_alternative<RequestFinished>(input) : std::holds_alternative<RoutedArrival>(input);
         if (isMeant && std::exchange(isThrowing, false))
             throw std::length_error("input");
     };
