Take no end of a connection for the end of an answer once the request could not be written whole

Callers saw: a part of an answer as a complete one. Cause: a socket reports its pending error once. The write got the reset and was passed over, since an answer may still lie in the socket; the read then ended like that of a connection which had ended in order. Change: the connection notes the failed write, and Exchange::readSome(), through which each body goes, says for all kinds of answers that the end of such a connection ends none. Such a connection is not kept. Questions whether bytes wait in a socket took its error in the same way (attempts that are set aside are asked often) and no longer receive. A refusal needs no body.

--- a/src/router/EndpointPool.h
+++ b/src/router/EndpointPool.h
@@ -27,6 +27,9 @@
     // Bytes that were read ahead. The bound ends an answer whose framing has no end, such as that of a chunk.
     beast::flat_buffer buffer { maxReadAhead };
     std::string address;
+    // A request could not be written whole. The write has taken the error of the connection, which is reported once, so
+    // that a read of what lies in the socket ends like that of a connection which ended in order.
+    bool isWriteBroken = false;
     Instant idleSince {};
     std::chrono::milliseconds idleLimit {}; // For how long the endpoint keeps it, less a margin.
 };
--- a/src/router/Exchange.h
+++ b/src/router/Exchange.h
@@ -172,7 +172,8 @@
     net::awaitable<std::unique_ptr<EndpointConnection>> acquire(const EndpointSighting&);
     net::awaitable<bool> writeRequest(EndpointConnection&, std::string chain);
     net::awaitable<bool> readOwnHeader(OpenAttempt&);
-    // Returns the next bytes of the body, none when only framing was read; nothing when the answer broke off.
+    // Returns the next bytes of the body, none when only framing was read; nothing when the answer broke off. Says for
+    // all kinds of answers whether the end of the connection ends them.
     net::awaitable<std::optional<std::string_view>> readSome(EndpointConnection&, Parser&);
     enum class BodyEnd : uint8_t { Whole, TooLong, BrokenOff };
     // What the exchange holds of answers takes so many bytes beside what was read ahead. False: the memory does not
@@ -184,6 +185,8 @@
     net::awaitable<AttemptResult> relayStream(OpenAttempt&);
     net::awaitable<AttemptResult> takeWhole(EndpointConnection&, Parser&);
     net::awaitable<AttemptResult> passThrough(EndpointConnection&, Parser&, std::string body);
+    // The head alone tells that the endpoint did not run the request.
+    bool saysNotExecuted(const http::response_header<>&) const;
     AttemptResult classify(const http::response_header<>&, const std::string& body);
     bool isOwnAnswer(const http::response_header<>&) const;
     AttemptResult notOwnAnswer() const;
--- a/src/router/ExchangeAttempt.cpp
+++ b/src/router/ExchangeAttempt.cpp
@@ -139,7 +139,7 @@
     // A refusal or a failure that the endpoint writes once more could answer the same request when it is repeated.
     bool isReusable = result.end == AttemptEnd::Complete && open.parser && open.parser->is_done()
         && isSuccess(open.parser->get().result_int()) && open.parser->keep_alive() && !open.isForeign
-        && !open.connection->buffer.size() && !m_isCallerGone && !m_movedFrom;
+        && !open.connection->buffer.size() && !open.connection->isWriteBroken && !m_isCallerGone && !m_movedFrom;
     if (isReusable)
         m_context.pool.giveBack(std::move(open.connection), idleLimitOf(open.parser->get().base()));
 }
@@ -195,6 +195,7 @@
     auto message = forwardRequest(m_context.settings.headers, forwarded);
     ErrorCode ec;
     co_await http::async_write(connection.stream, message, awaitInto(ec));
+    connection.isWriteBroken = bool(ec);
     // An endpoint may answer and close before it has read the whole body; the answer then still lies in the socket.
     co_return !ec || ec == net::error::broken_pipe || ec == net::error::connection_reset;
 }
@@ -241,6 +242,9 @@
     co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(ec));
     if (ec && ec != http::error::need_buffer)
         co_return std::nullopt;
+    bool endsWithConnection = parser.is_done() && parser.need_eof();
+    if (endsWithConnection && connection.isWriteBroken)
+        co_return std::nullopt;
     m_byteAt = m_context.clock.now();
     co_return std::string_view(m_chunk.data(), m_chunk.size() - parser.get().body().size);
 }
@@ -270,9 +274,11 @@
 {
     std::string body;
     auto end = co_await readBody(connection, parser, body);
-    if (end == BodyEnd::BrokenOff)
+    // A refusal needs no body.
+    bool isRefusal = saysNotExecuted(parser.get().base());
+    if (end == BodyEnd::BrokenOff && !isRefusal)
         co_return broken("answer broke off");
-    if (end == BodyEnd::Whole)
+    if (end == BodyEnd::Whole || end == BodyEnd::BrokenOff)
         co_return classify(parser.get().base(), body);
     bool isOwnSuccess = isSuccess(parser.get().result_int()) && isOwnAnswer(parser.get().base());
     if (!isOwnSuccess)
@@ -327,6 +333,11 @@
     return endpoint ? endpoint->endpoint : EndpointId();
 }
 
+bool Exchange::saysNotExecuted(const http::response_header<>& header) const
+{
+    return header.count(m_context.settings.headers.notExecuted) || header.result_int() == 421;
+}
+
 // The signature proves that the endpoint made the answer; its body has no encoding, since none was asked for.
 bool Exchange::isOwnAnswer(const http::response_header<>& header) const
 {
@@ -346,13 +357,11 @@
 
 Exchange::AttemptResult Exchange::classify(const http::response_header<>& header, const std::string& body)
 {
-    const auto& names = m_context.settings.headers;
     auto status = header.result_int();
-    bool hasNotRun = header.count(names.notExecuted) || status == 421;
     // A stage of a chain refuses when it is lost, leaves or is short of memory. It is avoided like one that cannot be
     // reached; taken for full, it would make everything wait that needs its layers.
     auto kind = m_request.isModel ? FailureKind::ConnectFailed : FailureKind::Refused;
-    if (hasNotRun)
+    if (saysNotExecuted(header))
         return { AttemptEnd::NotExecuted, faultOf(header), kind, "not executed" };
     if (!isOwnAnswer(header))
         return notOwnAnswer();
--- a/src/router/Net.cpp
+++ b/src/router/Net.cpp
@@ -3,6 +3,7 @@
 #include "router/Net.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 
 namespace jacinthspindle::router {
 
@@ -10,14 +11,19 @@
 
     enum class Pending : uint8_t { Nothing, Bytes, End };
 
-    // What lies in the socket; it is left there.
+    // What lies in the socket; it is left there. Neither call takes the socket's error, as receiving would: it is
+    // reported once, and a read after that takes a reset for an end in order.
     Pending pendingOn(tcp::socket& socket)
     {
-        char byte = 0;
-        auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (n > 0)
+        ErrorCode ec;
+        if (socket.available(ec))
             return Pending::Bytes;
-        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Pending::Nothing : Pending::End;
+        pollfd entry { socket.native_handle(), POLLIN, 0 };
+        bool hasEnded = ec || ::poll(&entry, 1, 0) > 0;
+        if (!hasEnded)
+            return Pending::Nothing;
+        // Bytes may have come between the two calls.
+        return socket.available(ec) ? Pending::Bytes : Pending::End;
     }
 
 } // namespace
--- a/test/router/AnswerIntegrityTest.cpp
+++ b/test/router/AnswerIntegrityTest.cpp
@@ -4,6 +4,7 @@
 #include "support/RouterFixture.h"
 
 #include <doctest/doctest.h>
+#include <limits>
 
 using namespace jacinthspindle;
 using namespace jacinthspindle::test;
@@ -278,6 +279,198 @@
     CHECK(statusOf(answerOf(AfterAnswer::Reset)) == 502);
 }
 
+namespace {
+
+// Answers uploads before it has read them.
+class EarlyServer {
+public:
+    enum class End { Reset, InOrder, AfterUpload };
+    struct Script {
+        std::function<std::string(const std::string& request)> answer;
+        End end = End::Reset;
+        size_t bytesReadBefore = 0; // Of the upload, before the answer.
+        std::chrono::milliseconds pause {}; // Between the answer and the reset.
+    };
+
+    // More than the buffers of both sockets hold.
+    static constexpr size_t uploadBytes = 3500000;
+
+    explicit EarlyServer(Script script)
+        : m_script(std::move(script))
+        , m_socket(listenOnLoopback(m_name))
+    {
+        listen(m_socket, 16);
+        m_thread = std::thread([this] { serve(); });
+    }
+    ~EarlyServer()
+    {
+        m_isStopping = true;
+        m_thread.join();
+        close(m_socket);
+    }
+
+    std::string address() const { return addressOf(m_name); }
+    int requests() const { return m_requests; }
+
+private:
+    static bool isReadable(int socket, int milliseconds = 20)
+    {
+        pollfd entry { socket, POLLIN, 0 };
+        return poll(&entry, 1, milliseconds) > 0;
+    }
+
+    void serve()
+    {
+        while (!m_isStopping) {
+            if (!isReadable(m_socket))
+                continue;
+            int socket = accept4(m_socket, nullptr, nullptr, SOCK_CLOEXEC);
+            answer(socket);
+            close(socket);
+        }
+    }
+
+    // Reads until so many bytes of the body have come, or no more come for a while.
+    static std::string readRequest(int socket, size_t bodyBytes)
+    {
+        std::string received;
+        size_t head = std::string::npos;
+        char buf[16384];
+        while (head == std::string::npos || received.size() < head + 4 + bodyBytes) {
+            if (!isReadable(socket, 2000))
+                return received;
+            ssize_t n = recv(socket, buf, sizeof buf, 0);
+            if (n <= 0)
+                return received;
+            received.append(buf, static_cast<size_t>(n));
+            head = received.find("\r\n\r\n");
+        }
+        return received;
+    }
+
+    void answer(int socket)
+    {
+        constexpr size_t wholeUpload = std::numeric_limits<size_t>::max() / 2;
+        bool isPatient = m_script.end == End::AfterUpload;
+        auto request = readRequest(socket, isPatient ? uploadBytes : m_script.bytesReadBefore);
+        ++m_requests;
+        auto text = m_script.answer(request);
+        send(socket, text.data(), text.size(), MSG_NOSIGNAL);
+        if (m_script.end == End::InOrder) {
+            shutdown(socket, SHUT_WR);
+            readRequest(socket, wholeUpload);
+        }
+        if (m_script.end == End::Reset) {
+            std::this_thread::sleep_for(m_script.pause);
+            linger abort { 1, 0 };
+            setsockopt(socket, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+        }
+    }
+
+    const Script m_script;
+    sockaddr_in m_name {};
+    int m_socket;
+    std::atomic<bool> m_isStopping { false };
+    std::atomic<int> m_requests { 0 };
+    std::thread m_thread;
+};
+
+void allowUploads(RouterFixture& router)
+{
+    auto configuration = *router.platform().configuration;
+    configuration.limits.maxBodyBytes = EarlyServer::uploadBytes;
+    router.platform().configuration = std::make_shared<const RoutingConfiguration>(configuration);
+}
+
+std::string uploadTo(const std::string& path, EarlyServer& server, const char* service = "catalogue")
+{
+    RouterFixture router;
+    allowUploads(router);
+    router.start({ endpointAt("c1", service, server.address()) });
+    return router.send(requestText("POST", path, "r1", std::string(EarlyServer::uploadBytes, 'u')));
+}
+
+// Whether the caller takes the answer for a whole success: its length is stated, or its last chunk came.
+bool looksWhole(const std::string& answer)
+{
+    bool hasMarkedEnd = !headerOf(answer, "Content-Length").empty() || answer.ends_with("0\r\n\r\n");
+    return statusOf(answer) == 200 && hasMarkedEnd;
+}
+
+std::string unmarkedHead(const std::string& request, const std::string& fields = {})
+{
+    return "HTTP/1.1 200 OK\r\n" + identityOf(request) + fields + "\r\n";
+}
+
+} // namespace
+
+// MIXED: a part of an answer was whole to the caller, since the write of the upload had taken the error of the reset.
+TEST_CASE("an answer without a length is not whole after a reset during the upload")
+{
+    const std::vector<EarlyServer::Script> scripts {
+        { [](const std::string& it) { return unmarkedHead(it) + "part"; } },
+        { [](const std::string& it) { return unmarkedHead(it) + "part"; }, EarlyServer::End::Reset, 0, 300ms },
+        { [](const std::string& it) { return unmarkedHead(it) + "part"; }, EarlyServer::End::Reset, 500000 },
+        { [](const std::string& it) { return "HTTP/1.1 102 Processing\r\n\r\n" + unmarkedHead(it) + "part"; } },
+        { [](const std::string& it) { return unmarkedHead(it); } },
+        { [](const std::string& it) { return unmarkedHead(it) + std::string(100000, 'p'); } },
+    };
+    for (size_t i = 0; i < scripts.size(); ++i) {
+        CAPTURE(i);
+        EarlyServer action(scripts[i]);
+        auto answer = uploadTo("/loans/7", action);
+        CHECK_FALSE(looksWhole(answer));
+        bool hasBegun = statusOf(answer) == 200;
+        CHECK_MESSAGE((hasBegun || statusOf(answer) == 502), "it may have run");
+        CHECK_MESSAGE(action.requests() == 1, "an action is not sent again");
+        EarlyServer read(scripts[i]);
+        answer = uploadTo("/cards/7", read);
+        CHECK_FALSE(looksWhole(answer));
+        CHECK(statusOf(answer) != 503);
+    }
+}
+
+// MIXED: streams decided for themselves whether the end of the connection ends them.
+TEST_CASE("a stream without a length is not whole after a reset during the upload")
+{
+    for (uint32_t events : { 0U, 1U, 2U }) {
+        CAPTURE(events);
+        EarlyServer engine({ [events](const std::string& request) {
+            auto text = unmarkedHead(request, "Content-Type: text/event-stream\r\n");
+            for (uint32_t i = 1; i <= events; ++i)
+                text += PausingEngine::event(i);
+            return text;
+        } });
+        auto answer = uploadTo("/ask/7", engine, "assistant");
+        CHECK_FALSE(looksWhole(answer));
+    }
+}
+
+TEST_CASE("an early answer whose connection ends in order, or whose length is stated, is whole")
+{
+    using End = EarlyServer::End;
+    auto unmarked = [](const std::string& request) { return unmarkedHead(request) + "booked"; };
+    auto marked = [](const std::string& request) { return unmarkedHead(request, "Content-Length: 6\r\n") + "booked"; };
+    const std::vector<EarlyServer::Script> scripts { { unmarked, End::InOrder }, { unmarked, End::AfterUpload },
+        { marked, End::InOrder }, { marked, End::AfterUpload }, { marked, End::Reset } };
+    for (size_t i = 0; i < scripts.size(); ++i) {
+        CAPTURE(i);
+        EarlyServer server(scripts[i]);
+        auto answer = uploadTo("/loans/7", server);
+        CHECK(statusOf(answer) == 200);
+        CHECK(answer.ends_with("booked"));
+        CHECK(server.requests() == 1);
+    }
+}
+
+TEST_CASE("a refusal without a length that is reset during the upload still tells that the request did not run")
+{
+    EarlyServer server({ [](const std::string& request) {
+        return "HTTP/1.1 503 Service Unavailable\r\n" + identityOf(request) + "X-Not-Executed: 1\r\n\r\nfull";
+    } });
+    CHECK(statusOf(uploadTo("/loans/7", server)) == 503);
+}
+
 // An engine that ends under a request writes its head first. The caller received a whole, empty answer.
 TEST_CASE("a stream without length and chunks that ends before its first event is not whole")
 {
