--- a/test/router/AnswerIntegrityTest.cpp
+++ b/test/router/AnswerIntegrityTest.cpp
@@ -433,11 +433,11 @@
 // MIXED: streams decided for themselves whether the end of the connection ends them.
 TEST_CASE("a stream without a length is not whole after a reset during the upload")
 {
-    for (uint32_t events : { 0U, 1U, 2U }) {
+    for (int events : { 0, 1, 2 }) {
         CAPTURE(events);
         EarlyServer engine({ [events](const std::string& request) {
             auto text = unmarkedHead(request, "Content-Type: text/event-stream\r\n");
-            for (uint32_t i = 1; i <= events; ++i)
+            for (int i = 1; i <= events; ++i)
                 text += PausingEngine::event(i);
             return text;
         } });
