Let facts get as old as a longer bound allows before their source is given up

Cause: facts were given up at 1.3 s whatever the bound. Change: what a bound leaves beside the least of each step is divided between the age, up to 1.8 s, and the search. A bound of 2 s is divided as before.

--- a/src/core/membership/FactTiming.cpp
+++ b/src/core/membership/FactTiming.cpp
@@ -6,10 +6,24 @@
 
 namespace jacinthspindle {
 
+namespace {
+
+    // What a bound leaves beside the least that each step takes goes to the search, and in equal part to the age until
+    // a source has as long for its answer as for one to a question about fresh facts.
+    Duration maxFactAgeOf(Duration changeBound, Duration listInterval)
+    {
+        auto least = listInterval + FactTiming::renewalMargin;
+        auto spare = std::max<Duration>(
+            Duration::zero(), changeBound - least - FactTiming::minSearchTime - FactTiming::takeoverTime);
+        return std::min<Duration>(least + spare / 2, listInterval + FactTiming::maxAnswerTime);
+    }
+
+} // namespace
+
 FactTiming::FactTiming(Duration changeBound)
     : listInterval(
         std::clamp(changeBound - takeoverTime - minSearchTime - renewalMargin, minListInterval, maxListInterval))
-    , maxFactAge(listInterval + renewalMargin)
+    , maxFactAge(maxFactAgeOf(changeBound, listInterval))
     , searchTime(std::max(minSearchTime, changeBound - maxFactAge - takeoverTime))
 {
 }
